--- /dev/null
+++ b/src/adapters/peer-security.ts
@@ -0,0 +1,65 @@
+/** Certificates and keys of the calls between daemons. */
+import {readFileSync} from 'node:fs';
+import {ServerCredentials, credentials} from '@grpc/grpc-js';
+import {err, ok, type Result} from 'neverthrow';
+import type {PeerSecurity} from './daemon-peers.js';
+
+/** Paths and the shared key, as settings name them. */
+export interface SecuritySettings {
+  readonly certificate?: string;
+  readonly 'private-key'?: string;
+  readonly authority?: string;
+  readonly 'datagram-key'?: string;
+}
+
+/** The certificates cannot be used. */
+export class SecurityUnusable extends Error {
+  readonly type = 'SecurityUnusable';
+  /** Creates the failure. */
+  static create(cause: string): SecurityUnusable {
+    return new SecurityUnusable(
+      `[security] ${cause}; name certificate, private-key and authority ` +
+        'as readable PEM files, or none of the three',
+    );
+  }
+}
+
+/** Reads the files: all three of them for mutual TLS, or none. */
+export function loadPeerSecurity(
+  settings: SecuritySettings,
+): Result<PeerSecurity, SecurityUnusable> {
+  const {certificate, authority} = settings;
+  const privateKey = settings['private-key'];
+  const datagramKey = settings['datagram-key'];
+  const paths = [certificate, privateKey, authority];
+  if (paths.every(path => path === undefined)) {
+    return ok({
+      server: ServerCredentials.createInsecure(),
+      client: credentials.createInsecure(),
+      datagramKey,
+    });
+  }
+  if (
+    certificate === undefined ||
+    privateKey === undefined ||
+    authority === undefined
+  ) {
+    return err(SecurityUnusable.create('one of the three files is not named'));
+  }
+  try {
+    const [chain, key, root] = [certificate, privateKey, authority].map(path =>
+      readFileSync(path),
+    );
+    return ok({
+      server: ServerCredentials.createSsl(
+        root,
+        [{private_key: key, cert_chain: chain}],
+        true,
+      ),
+      client: credentials.createSsl(root, key, chain),
+      datagramKey,
+    });
+  } catch (error) {
+    return err(SecurityUnusable.create(String(error)));
+  }
+}
--- /dev/null
+++ b/src/adapters/udp-fabric.spec.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {Packet, PacketKind, PeerDatagram} from '../generated/packet.js';
+import {DatagramDigest} from './datagram-digest.js';
+import {decodePacket} from './udp-fabric.js';
+
+const PACKET: Packet = {
+  sourceAddress: 0x0a000001,
+  sourcePort: 4_000,
+  destinationAddress: 0x0a140001,
+  destinationPort: 443,
+  kind: PacketKind.DATA,
+  sequence: 9,
+  payload: Buffer.from('parkwise/meterpay'),
+  returnAddress: '127.0.0.1:5000',
+};
+
+test('a packet is read as it was written', () => {
+  const read = decodePacket(Packet.encode(PACKET).finish());
+  assert.deepEqual(read, PACKET);
+});
+
+test('no bytes make the reader throw, and ports stay in range', () => {
+  fc.assert(
+    fc.property(fc.uint8Array({maxLength: 64}), bytes => {
+      const read = decodePacket(bytes);
+      assert.ok(
+        read === undefined ||
+          (read.destinationPort > 0 && read.destinationPort <= 65_535),
+      );
+    }),
+    {seed: 5, numRuns: 2_000},
+  );
+});
+
+test('a packet cut short or with changed bytes never throws', () => {
+  const whole = Packet.encode(PACKET).finish();
+  fc.assert(
+    fc.property(
+      fc.nat(whole.length - 1),
+      fc.integer({min: 0, max: 255}),
+      (position, value) => {
+        const changed = Uint8Array.from(whole);
+        changed[position] = value;
+        decodePacket(changed);
+        assert.ok(decodePacket(whole.subarray(0, position)) !== PACKET);
+      },
+    ),
+    {seed: 6, numRuns: 1_000},
+  );
+});
+
+test('a datagram of a stranger is refused', () => {
+  const own = DatagramDigest.create('a shared key');
+  const bytes = Buffer.from(
+    PeerDatagram.encode(PeerDatagram.fromPartial({sender: 'a'})).finish(),
+  );
+  const sealed = Buffer.from(own.seal(bytes));
+  assert.deepEqual(own.open(sealed), bytes);
+  assert.equal(DatagramDigest.create('another').open(sealed), undefined);
+  sealed[sealed.length - 1] ^= 1;
+  assert.equal(own.open(sealed), undefined);
+  assert.equal(own.open(Buffer.alloc(3)), undefined);
+});
--- /dev/null
+++ b/src/adapters/udp-fabric.ts
@@ -0,0 +1,57 @@
+/** The fabric as protobuf datagrams over UDP. */
+import type dgram from 'node:dgram';
+import {Packet, PacketKind} from '../generated/packet.js';
+import {Metric, type Counters} from '../ports/counters.js';
+import {Fabric, type FabricPacket} from '../ports/fabric.js';
+import {bindUdp} from './udp-socket.js';
+
+const HIGHEST_PORT = 65_535;
+
+/** Reads a packet; undefined when the bytes are no well-formed packet. */
+export function decodePacket(bytes: Uint8Array): Packet | undefined {
+  try {
+    const packet = Packet.decode(bytes);
+    return isWellFormed(packet) ? packet : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function isWellFormed(packet: Packet): boolean {
+  return (
+    packet.sourcePort <= HIGHEST_PORT &&
+    packet.destinationPort <= HIGHEST_PORT &&
+    packet.destinationPort > 0 &&
+    packet.kind <= PacketKind.CLOSE
+  );
+}
+
+/** Fabric over one UDP socket. */
+export class UdpFabric extends Fabric {
+  private constructor(
+    private readonly socket: dgram.Socket,
+    private readonly counters: Counters,
+  ) {
+    super();
+  }
+
+  /** Opens the socket at "ip:port". */
+  static async create(address: string, counters: Counters): Promise<UdpFabric> {
+    return new UdpFabric(await bindUdp(address), counters);
+  }
+
+  onPacket(handle: (packet: FabricPacket) => void): void {
+    this.socket.on('message', bytes => {
+      const packet = decodePacket(bytes);
+      if (packet === undefined) {
+        this.counters.add(Metric.PACKETS_MALFORMED);
+      } else {
+        handle({packet, bytes});
+      }
+    });
+  }
+
+  close(): void {
+    this.socket.close();
+  }
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,112 @@
+#!/usr/bin/env node
+/** The operators' tool. Exit codes: 0 done, 1 failed, 2 wrong use. */
+import {cac} from 'cac';
+import {VERSION} from '../version.js';
+import {
+  ExitCode,
+  apply,
+  check,
+  diff,
+  history,
+  show,
+  status,
+  timeline,
+  type ApplyOptions,
+  type CommonOptions,
+  type TimelineOptions,
+} from './commands.js';
+import {Platform} from './platform.js';
+
+const DEFAULT_SETTINGS = 'weldyard.ini';
+
+/** Runs a command with the platform that the settings name. */
+async function withPlatform(
+  options: CommonOptions,
+  run: (platform: Platform) => Promise<ExitCode>,
+): Promise<ExitCode> {
+  const opened = Platform.open(options.config);
+  if (opened.isErr()) {
+    process.stderr.write(`${opened.error.message}\n`);
+    return ExitCode.FAILED;
+  }
+  const code = await run(opened.value);
+  opened.value.close();
+  return code;
+}
+
+const program = cac('weldyard');
+program.option('--config <file>', 'settings that name the platform (INI)', {
+  default: DEFAULT_SETTINGS,
+});
+program.option('--json', 'print for machines');
+program
+  .command('check <...files>', 'read settings, templates and workspaces')
+  .action((files: string[], options: CommonOptions) =>
+    check(files, options.json === true),
+  );
+program
+  .command('apply [...files]', 'make one edit of templates and workspaces')
+  .option('--remove <source>', 'remove "template/NAME" or "workspace/NAME"')
+  .option('--editor <name>', 'who makes the edit')
+  .option('--base <revision>', 'the revision you looked at')
+  .option('--rebase', "make the edit on top of others' edits")
+  .option('--dry-run', 'show what would change')
+  .option('--wait', 'wait until it is in force on every daemon')
+  .action((files: string[], options: ApplyOptions) =>
+    withPlatform(options, platform => apply(platform, files, options)),
+  );
+program
+  .command('show [source]', 'print templates and workspaces')
+  .option('--revision <number>', 'an earlier revision')
+  .action((name: string | undefined, options: CommonOptions) =>
+    withPlatform(options, platform => show(platform, name, options)),
+  );
+program
+  .command('diff <from> [to]', 'compare two revisions')
+  .action((from: string, to: string | undefined, options: CommonOptions) =>
+    withPlatform(options, platform => diff(platform, from, to, options)),
+  );
+program
+  .command('history', 'list the edits')
+  .action((options: CommonOptions) =>
+    withPlatform(options, platform => history(platform, options)),
+  );
+program
+  .command('status', 'show the daemons')
+  .action((options: CommonOptions) =>
+    withPlatform(options, platform => status(platform, options)),
+  );
+program
+  .command('timeline', 'show events of all daemons')
+  .option('--since <time>', 'ISO time of the first event')
+  .option('--flow <text>', 'events that name a flow')
+  .option('--request <key>', 'events that name a request')
+  .option('--revision <number>', 'events that name a revision')
+  .option('--out <file>', 'draw into FILE.svg or FILE.html')
+  .action((options: TimelineOptions) =>
+    withPlatform(options, platform => timeline(platform, options)),
+  );
+program.help();
+program.version(VERSION);
+
+/** Parses and runs; wrong use is told from failure. */
+async function main(): Promise<ExitCode> {
+  try {
+    program.parse(process.argv, {run: false});
+    const {help, version} = program.options;
+    if (help === true || version === true) {
+      return ExitCode.DONE;
+    }
+    if (program.matchedCommand === undefined) {
+      program.outputHelp();
+      return ExitCode.WRONG_USE;
+    }
+    return (await program.runMatchedCommand()) as ExitCode;
+  } catch (error) {
+    const wrongUse = error instanceof Error && error.name === 'CACError';
+    process.stderr.write(`weldyard: ${String(error)}\n`);
+    return wrongUse ? ExitCode.WRONG_USE : ExitCode.FAILED;
+  }
+}
+
+process.exitCode = await main();
--- /dev/null
+++ b/src/configuration/values.ts
@@ -0,0 +1,127 @@
+/** Schemas of single values in INI files; all are written as text. */
+import {z} from 'zod';
+import {parseSocketAddress} from '../routing/ipv4.js';
+
+const UNIT_MS: Readonly<Record<string, number>> = {
+  ms: 1,
+  s: 1_000,
+  m: 60_000,
+  h: 3_600_000,
+};
+
+const DURATION = /^(?<amount>\d+(\.\d+)?)(?<unit>ms|s|m|h)$/;
+const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
+
+const SERVER_MESSAGE =
+  'write "ip:port", or "ip:port weight=2" with a weight above 0 and up to 100';
+const SERVER_LINE = /^(?<id>\S+)(\s+weight=(?<weight>\d+(\.\d+)?))?$/;
+const HIGHEST_WEIGHT = 100;
+
+/** A backend server as a workspace names it. */
+export interface ServerParameter {
+  /** "ip:port". */
+  readonly id: string;
+  readonly weight: number;
+}
+
+/** "ip:port", or "ip:port weight=2". */
+export function serverLine(): z.ZodType<ServerParameter, string> {
+  return z.string({error: SERVER_MESSAGE}).transform((line, context) => {
+    const groups = SERVER_LINE.exec(line.trim())?.groups;
+    const id = groups?.['id'] ?? '';
+    const weight = Number(groups?.['weight'] ?? 1);
+    const fits = weight > 0 && weight <= HIGHEST_WEIGHT;
+    if (parseSocketAddress(id) === undefined || !fits) {
+      context.addIssue({code: 'custom', input: line, message: SERVER_MESSAGE});
+      return z.NEVER;
+    }
+    return {id, weight};
+  });
+}
+
+/** "250ms", "10s", "5m" or "2h", read as milliseconds; greater than 0. */
+export function duration(): z.ZodType<number, string> {
+  return z
+    .string({error: 'write a duration such as 250ms, 10s, 5m or 2h'})
+    .transform((text, context) => {
+      const groups = DURATION.exec(text)?.groups;
+      const value =
+        Number(groups?.['amount'] ?? 0) *
+        (UNIT_MS[groups?.['unit'] ?? ''] ?? 0);
+      if (value <= 0) {
+        context.addIssue({
+          code: 'custom',
+          input: text,
+          message: 'write a duration above 0 such as 250ms, 10s, 5m or 2h',
+        });
+        return z.NEVER;
+      }
+      return value;
+    });
+}
+
+/** A whole number within bounds. */
+export function wholeNumber(
+  lowest: number,
+  highest: number,
+): z.ZodType<number, string> {
+  return bounded(lowest, highest, true);
+}
+
+/** A number within bounds. */
+export function fraction(
+  lowest: number,
+  highest: number,
+): z.ZodType<number, string> {
+  return bounded(lowest, highest, false);
+}
+
+function bounded(
+  lowest: number,
+  highest: number,
+  whole: boolean,
+): z.ZodType<number, string> {
+  const kind = whole ? 'a whole number' : 'a number';
+  const message = `write ${kind} from ${lowest} to ${highest}`;
+  return z.string({error: message}).transform((text, context) => {
+    const value = text.trim() === '' ? NaN : Number(text);
+    const fits = value >= lowest && value <= highest;
+    if (!fits || (whole && !Number.isInteger(value))) {
+      context.addIssue({code: 'custom', input: text, message});
+      return z.NEVER;
+    }
+    return value;
+  });
+}
+
+/** A name: lower-case letters, digits and hyphens. */
+export function name(): z.ZodType<string, string> {
+  const message = 'write lower-case letters, digits and hyphens, 63 at most';
+  return z.string({error: message}).regex(NAME, {error: message});
+}
+
+/** "a.b.c.d:port". */
+export function socketAddress(): z.ZodType<string, string> {
+  const message = 'write an IPv4 address and a port such as 10.20.0.1:443';
+  return z
+    .string({error: message})
+    .refine(text => parseSocketAddress(text) !== undefined, {error: message});
+}
+
+/** "true" or "false"; the INI library reads these two as booleans. */
+export function flag(): z.ZodType<boolean, boolean> {
+  return z.boolean({error: 'write true or false'});
+}
+
+/** One of a few words. */
+export function oneOf<const T extends readonly [string, ...string[]]>(
+  words: T,
+): z.ZodType<T[number], string> {
+  return z.enum(words, {error: `write one of ${words.join(', ')}`});
+}
+
+/** Any text that is not empty. */
+export function text(what: string): z.ZodType<string, string> {
+  const message = `write ${what}`;
+  return z.string({error: message}).min(1, {error: message});
+}
--- /dev/null
+++ b/src/daemon/control-server.ts
@@ -0,0 +1,61 @@
+/** Calls of callers and of the command line to a daemon. */
+import {Server, ServerCredentials} from '@grpc/grpc-js';
+import {CHANNEL_OPTIONS, bindServer} from '../adapters/grpc-call.js';
+import {
+  ControlService,
+  type ControlServer,
+  type StatusReply,
+} from '../generated/peer.js';
+import {
+  RequestsService,
+  type CallerReply,
+  type CallerRequest,
+  type RequestsServer,
+} from '../generated/request.js';
+import type {Timeline} from '../ports/timeline.js';
+
+const LONGEST_TIMELINE = 10_000;
+
+/** Starts the server that callers send requests to. */
+export async function createRequestServer(
+  address: string,
+  handle: (request: CallerRequest) => Promise<CallerReply>,
+): Promise<Server> {
+  const service: RequestsServer = {
+    call: (call, callback) => {
+      void handle({...call.request, hops: 0}).then(reply =>
+        callback(null, reply),
+      );
+    },
+  };
+  const server = new Server(CHANNEL_OPTIONS);
+  server.addService(RequestsService, service);
+  await bindServer(server, address, ServerCredentials.createInsecure());
+  return server;
+}
+
+/** Starts the server that the command line asks. */
+export async function createControlServer(
+  address: string,
+  status: () => StatusReply,
+  timeline: Timeline,
+): Promise<Server> {
+  const service: ControlServer = {
+    status: (_call, callback) => callback(null, status()),
+    timeline: (call, callback) => {
+      const limit = call.request.limit || LONGEST_TIMELINE;
+      const events = timeline.recent(limit).map(record => ({
+        process: record.process,
+        physicalMs: record.stamp.physicalMs,
+        logical: record.stamp.logical,
+        kind: record.kind,
+        detailJson: JSON.stringify(record.detail),
+      }));
+      callback(null, {events});
+    },
+  };
+  const server = new Server(CHANNEL_OPTIONS);
+  server.addService(ControlService, service);
+  await bindServer(server, address, ServerCredentials.createInsecure());
+  return server;
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,447 @@
+/** The daemon: all parts put together from settings. */
+import type {Server} from '@grpc/grpc-js';
+import {DaemonPeers, type PeerSecurity} from '../adapters/daemon-peers.js';
+import {GrpcBackendServers} from '../adapters/grpc-backend-servers.js';
+import {stopServer} from '../adapters/grpc-call.js';
+import {GrpcInstanceList} from '../adapters/grpc-instance-list.js';
+import {GrpcStore} from '../adapters/grpc-store.js';
+import {RingTimeline} from '../adapters/ring-timeline.js';
+import {StatsdCounters} from '../adapters/statsd-counters.js';
+import {SystemClock} from '../adapters/system-clock.js';
+import {UdpFabric} from '../adapters/udp-fabric.js';
+import {XxhashHasher} from '../adapters/xxhash-hasher.js';
+import {KeyRanges} from '../admission/key-ranges.js';
+import {LeasedKeyGuard, rangeOf} from '../admission/leased-key-guard.js';
+import {NaiveRequests} from '../admission/naive-requests.js';
+import {RequestEntry, type KeyOwner} from '../admission/request-entry.js';
+import {decodeDocument} from '../configuration/document.js';
+import type {ProcessSettings} from '../configuration/process-settings.js';
+import {compileDocument} from '../configuration/revision.js';
+import {Watcher} from '../configuration/watcher.js';
+import type {RevisionBundle, StatusReply} from '../generated/peer.js';
+import {
+  MEMBER_STATE_NAMES,
+  MemberState,
+  firstIncarnation,
+  handlesPackets,
+  runOf,
+  type Member,
+} from '../membership/member.js';
+import {Metric} from '../ports/counters.js';
+import type {FabricPacket} from '../ports/fabric.js';
+import {
+  InstanceRole,
+  InstanceState,
+  type ListedInstance,
+} from '../ports/instance-list.js';
+import type {Log} from '../ports/log.js';
+import {EventKind} from '../ports/timeline.js';
+import {FlowCoordinator} from '../recovery/flow-coordinator.js';
+import {DecisionKind} from '../routing/decision.js';
+import {NewestTableRouter} from '../routing/newest-table-router.js';
+import type {RoutingRevision} from '../routing/routed-address.js';
+import {StateScope} from '../routing/router.js';
+import {createControlServer, createRequestServer} from './control-server.js';
+import {PlatformTasks} from './platform-tasks.js';
+import {Pools} from './pools.js';
+import {StreamEntry} from './stream-entry.js';
+
+const RETRY_MS = 500;
+const POOL_INTERVAL_MS = 500;
+/** Time a planned stop takes at the most, in milliseconds. */
+const LONGEST_STOP_MS = 30_000;
+/** Silence of the fabric after which a leaving daemon may exit. */
+const FABRIC_SILENCE_MS = 1_000;
+const STOP_POLL_MS = 100;
+const HANDOVER_MS = 10_000;
+
+/** A running daemon. */
+export class Daemon {
+  private readonly clock = SystemClock.create();
+  private readonly counters: StatsdCounters;
+  private readonly timeline: RingTimeline;
+  private readonly store: GrpcStore;
+  private readonly list: GrpcInstanceList;
+  private readonly coordinator: FlowCoordinator;
+  private readonly pools: Pools;
+  private readonly ranges: KeyRanges;
+  private readonly entry: RequestEntry;
+  private readonly naiveRouter: NewestTableRouter;
+  private readonly tasks: PlatformTasks;
+  private readonly cleanups: (() => void)[] = [];
+  private readonly servers: Server[] = [];
+  private streams: StreamEntry[] = [];
+  private lastPacketMs = 0;
+
+  private constructor(
+    private readonly settings: ProcessSettings,
+    private readonly log: Log,
+    private readonly hasher: XxhashHasher,
+    private readonly fabric: UdpFabric,
+    private readonly backends: GrpcBackendServers,
+    private readonly peers: DaemonPeers,
+    counters: StatsdCounters,
+  ) {
+    this.counters = counters;
+    const {daemon, platform, routing, requests} = settings;
+    this.timeline = RingTimeline.create(daemon.id, this.clock);
+    this.store = GrpcStore.create(platform.store, this.clock, counters);
+    this.list = GrpcInstanceList.create(platform['instance-list'], this.clock);
+    this.naiveRouter = NewestTableRouter.create(hasher);
+    const common = {
+      self: daemon.id,
+      clock: this.clock,
+      hasher,
+      counters,
+      backends,
+    };
+    this.pools = Pools.create({...common, retryShare: requests['retry-share']});
+    this.coordinator = FlowCoordinator.create({
+      ...common,
+      self: this.ownMember(),
+      timeline: this.timeline,
+      peers,
+      read: bundle => this.readRevision(bundle),
+      maximumEntries: routing['maximum-entries'],
+      scope:
+        routing.policy === 'all-flows' ? StateScope.ALL : StateScope.EXCEPTIONS,
+    });
+    this.ranges = KeyRanges.create({
+      store: this.store,
+      peers,
+      clock: this.clock,
+      view: {
+        self: runOf(this.coordinator.members.self),
+        ownerOf: range => this.rangeOwner(range),
+        backupsOf: range => this.rangeBackups(range),
+        addressOf: run => this.addressOfRun(run),
+      },
+    });
+    this.entry = RequestEntry.create({
+      ...common,
+      timeline: this.timeline,
+      peers,
+      guard: LeasedKeyGuard.create(this.ranges, hasher, this.clock),
+      findService: (workspace, service) => this.pools.find(workspace, service),
+      dispatcherOf: service => this.pools.dispatcherOf(service),
+      ownerOf: key => this.keyOwner(key),
+    });
+    this.tasks = PlatformTasks.create({
+      self: this.listed(InstanceState.LIVE),
+      clock: this.clock,
+      hasher,
+      list: this.list,
+      backends,
+      coordinator: this.coordinator,
+      services: () => this.pools.all,
+    });
+  }
+
+  /** Opens the sockets of a daemon; `run` does the rest. */
+  static async create(
+    settings: ProcessSettings,
+    security: PeerSecurity,
+    log: Log,
+  ): Promise<Daemon> {
+    const clock = SystemClock.create();
+    const {id} = settings.daemon;
+    const counters = StatsdCounters.create(settings.metrics.statsd, id);
+    const {fabric, peers} = settings.listen;
+    const host = fabric.split(':')[0];
+    return new Daemon(
+      settings,
+      log,
+      await XxhashHasher.create(),
+      await UdpFabric.create(fabric, counters),
+      await GrpcBackendServers.create(host, clock),
+      await DaemonPeers.create({
+        id,
+        address: peers,
+        clock,
+        counters,
+        security,
+      }),
+      counters,
+    );
+  }
+
+  /** Joins the fleet; resolves when the daemon owns its part. */
+  async run(): Promise<void> {
+    this.timeline.record(EventKind.STARTED, {});
+    await this.peers.serve({
+      ...this.coordinator.handlers(),
+      onForward: request => this.entry.handle(request),
+      onKeepKeys: (range, records) =>
+        this.ranges.get(range).memory.merge(records),
+      onPullKeys: range => this.ranges.get(range).memory.records(),
+    });
+    await this.startServers();
+    this.startTasks();
+    this.fabric.onPacket(packet => this.onPacket(packet));
+    const addresses = await this.readListUntilItAnswers();
+    await this.coordinator.join(addresses);
+    await this.announce(InstanceState.LIVE);
+    this.log.info('ready', {
+      revision: this.coordinator.knowledge.staged.revision,
+    });
+  }
+
+  /** Leaves the fleet without cutting anything off, then stops. */
+  async stop(): Promise<void> {
+    const deadline = this.clock.now() + LONGEST_STOP_MS;
+    this.timeline.record(EventKind.STOPPING, {});
+    this.log.info('stopping');
+    this.streams.forEach(stream => stream.stopAccepting());
+    await this.announce(InstanceState.LEAVING);
+    const confirmed = await this.coordinator.leave(
+      this.clock.now() + HANDOVER_MS,
+    );
+    await this.waitForQuiet(deadline);
+    this.entry.stop();
+    await this.waitForRequests(deadline);
+    await this.ranges.releaseAll(deadline);
+    await this.coordinator.settle(deadline);
+    this.timeline.record(EventKind.STOPPED, {confirmed});
+    await this.announce(InstanceState.GONE);
+    await this.close();
+    this.log.info('stopped', {confirmed});
+  }
+
+  private async startServers(): Promise<void> {
+    const {requests, control, streams} = this.settings.listen;
+    const naive = NaiveRequests.create({
+      clock: this.clock,
+      backends: this.backends,
+      random: Math.random,
+      findService: (workspace, service) => this.pools.find(workspace, service),
+    });
+    const handler =
+      this.settings.requests.policy === 'naive' ? naive : this.entry;
+    this.servers.push(
+      await createRequestServer(requests, request => handler.handle(request)),
+      await createControlServer(control, () => this.status(), this.timeline),
+    );
+    this.streams = await Promise.all(
+      streams.map(stream =>
+        StreamEntry.create({
+          ...stream,
+          counters: this.counters,
+          findService: address => this.pools.findByAddress(address),
+          marks: () => this.coordinator.knowledge.marks,
+        }),
+      ),
+    );
+  }
+
+  private startTasks(): void {
+    const watcher = Watcher.create({
+      store: this.store,
+      clock: this.clock,
+      isWatching: () => this.tasks.isWatching(),
+      onValue: value => this.onDocument(value),
+      onLost: cause => {
+        this.log.warn('store-lost', {cause});
+        this.timeline.record(EventKind.STORE_LOST, {cause});
+      },
+      onBack: () => {
+        this.log.info('store-back');
+        this.timeline.record(EventKind.STORE_BACK, {});
+      },
+    });
+    const pools = setInterval(() => this.updatePools(), POOL_INTERVAL_MS);
+    this.coordinator.start();
+    this.cleanups.push(
+      () => clearInterval(pools),
+      this.counters.start(),
+      this.tasks.start(),
+      watcher.start(),
+      this.ranges.start(),
+    );
+  }
+
+  private async readListUntilItAnswers(): Promise<string[]> {
+    const addresses = await this.tasks.readList();
+    if (addresses !== undefined) {
+      return addresses;
+    }
+    this.log.warn('instance-list-lost');
+    await this.pause();
+    return this.readListUntilItAnswers();
+  }
+
+  private onPacket(packet: FabricPacket): void {
+    this.lastPacketMs = this.clock.now();
+    if (this.settings.routing.policy !== 'naive') {
+      this.coordinator.handle(packet);
+      return;
+    }
+    const decision = this.naiveRouter.route(packet.packet);
+    if (decision.kind === DecisionKind.FORWARD) {
+      this.backends.send(decision.server, packet.bytes);
+      this.counters.add(Metric.PACKETS_FORWARDED);
+    } else {
+      this.counters.add(Metric.PACKETS_UNROUTABLE);
+    }
+  }
+
+  private onDocument(value: Uint8Array): void {
+    decodeDocument(value).match(
+      ({revision}) => {
+        if (revision > this.coordinator.knowledge.staged.revision) {
+          const document = Buffer.from(value);
+          this.coordinator.learn([
+            {revision: {revision, document}, mark: undefined},
+          ]);
+        }
+      },
+      failure =>
+        this.log.error('document-unreadable', {cause: failure.message}),
+    );
+  }
+
+  /** Reads a revision that came from the store or from a peer. */
+  private readRevision(bundle: RevisionBundle): RoutingRevision | undefined {
+    return decodeDocument(bundle.document)
+      .andThen(document => compileDocument(document))
+      .match(
+        ({routing, services}) => {
+          this.pools.useServices(services);
+          this.log.info('revision-staged', {revision: bundle.revision});
+          queueMicrotask(() => this.updatePools());
+          return routing;
+        },
+        failure => {
+          this.log.error('revision-unreadable', {cause: failure.message});
+          return undefined;
+        },
+      );
+  }
+
+  private updatePools(): void {
+    const {knowledge, members} = this.coordinator;
+    const owners = members.owners().map(({id}) => id);
+    this.pools.useServers(knowledge.marks, owners);
+    this.naiveRouter.stage(knowledge.staged, knowledge.marks);
+  }
+
+  private rangeOwner(range: number): string | undefined {
+    const owner = this.coordinator.currentOwnership.ownerOf(range);
+    const member = owner && this.coordinator.members.get(owner);
+    return member ? runOf(member) : undefined;
+  }
+
+  /** The partition's backup first, then everyone else. */
+  private rangeBackups(range: number): string[] {
+    const {members, currentOwnership} = this.coordinator;
+    const first = currentOwnership.backupOf(range);
+    const others = members
+      .others()
+      .filter(handlesPackets)
+      .filter(({state}) => state === MemberState.READY);
+    return [
+      ...others.filter(({id}) => id === first),
+      ...others.filter(({id}) => id !== first),
+    ].map(runOf);
+  }
+
+  private addressOfRun(run: string): string | undefined {
+    return this.coordinator.members
+      .others()
+      .find(member => runOf(member) === run && handlesPackets(member))?.address;
+  }
+
+  private keyOwner(key: string): KeyOwner {
+    const {members, currentOwnership} = this.coordinator;
+    const owner = currentOwnership.ownerOf(rangeOf(key, this.hasher));
+    const isSelf = owner === undefined || owner === members.self.id;
+    return {address: isSelf ? undefined : members.get(owner)?.address};
+  }
+
+  private status(): StatusReply {
+    const {knowledge, members, router} = this.coordinator;
+    return {
+      id: members.self.id,
+      failureDomain: members.self.failureDomain,
+      state: MEMBER_STATE_NAMES[members.self.state],
+      revision: knowledge.active,
+      stagedRevision: knowledge.staged.revision,
+      members: members.owners().length,
+      exceptions: router.flows.sizeOf(1),
+      cached: router.flows.sizeOf(2),
+      countersJson: JSON.stringify({
+        ...this.counters.read(),
+        'ranges.held': this.ranges.heldCount,
+      }),
+    };
+  }
+
+  /** Waits until the fabric sends no more and streams have ended. */
+  private async waitForQuiet(deadline: number): Promise<void> {
+    const quiet = () =>
+      this.clock.now() - this.lastPacketMs > FABRIC_SILENCE_MS &&
+      this.streams.every(stream => stream.connections === 0);
+    while (!quiet() && this.clock.now() < deadline) {
+      await this.pause(STOP_POLL_MS);
+    }
+  }
+
+  private async waitForRequests(deadline: number): Promise<void> {
+    while (this.entry.count > 0 && this.clock.now() < deadline) {
+      await this.pause(STOP_POLL_MS);
+    }
+  }
+
+  private async close(): Promise<void> {
+    this.coordinator.stop();
+    await this.pause(STOP_POLL_MS);
+    this.cleanups.forEach(cleanup => cleanup());
+    this.streams.forEach(stream => stream.close());
+    const deadline = this.clock.now() + RETRY_MS;
+    await Promise.all(
+      this.servers.map(server => stopServer(server, this.clock, deadline)),
+    );
+    await this.peers.close();
+    this.fabric.close();
+    this.backends.close();
+    this.store.close();
+    this.list.close();
+  }
+
+  private async announce(state: InstanceState): Promise<void> {
+    const result = await this.list.announce(this.listed(state));
+    if (result.isErr()) {
+      this.log.warn('announce-failed', {cause: result.error.message, state});
+    }
+  }
+
+  private listed(state: InstanceState): ListedInstance {
+    const {daemon, listen} = this.settings;
+    return {
+      id: daemon.id,
+      role: InstanceRole.DAEMON,
+      address: listen.peers,
+      failureDomain: daemon['failure-domain'],
+      state,
+      version: 0,
+      fabricAddress: listen.fabric,
+      controlAddress: listen.control,
+    };
+  }
+
+  private ownMember(): Member {
+    const {daemon, listen} = this.settings;
+    return {
+      id: daemon.id,
+      address: listen.peers,
+      failureDomain: daemon['failure-domain'],
+      state: MemberState.JOINING,
+      incarnation: firstIncarnation(this.clock.wall()),
+    };
+  }
+
+  private pause(milliseconds = RETRY_MS): Promise<void> {
+    return new Promise(resolve => {
+      this.clock.callAt(this.clock.now() + milliseconds, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/membership/failure-detector.ts
@@ -0,0 +1,420 @@
+/**
+ * Probes of peers: who lives, who is in touch, and what each has staged.
+ *
+ * Up to `MESH_LIMIT` members each daemon probes every other one; above that a
+ * constant number in turn, so that the cost a daemon does not grow.
+ */
+import type {LoadVector, Probe} from '../generated/packet.js';
+import type {Clock, Timer} from '../ports/clock.js';
+import type {Peers} from '../ports/peers.js';
+import type {ChangeLog} from './change-log.js';
+import type {MemberList} from './member-list.js';
+import {MemberState, answersProbes, memberOf, type Member} from './member.js';
+import {
+  CONTACT_MS,
+  LOAD_INTERVAL_MS,
+  MESH_LIMIT,
+  MISSES_BEFORE_SUSPICION,
+  PROBE_INTERVAL_MS,
+  RELAY_COUNT,
+  SUSPICION_MS,
+  TRUST_MS,
+} from './timing.js';
+
+const ROUNDS_BETWEEN_GREETINGS = 4;
+
+/** What is known of the exchange with one peer; times are monotonic. */
+interface PeerContact {
+  /** Sequence and time of the probe that is not answered yet; 0: none. */
+  pendingSequence: number;
+  pendingSentMs: number;
+  /** Sending time of the newest probe that the peer answered. */
+  answeredSentMs: number;
+  /** Arrival of the newest datagram of the peer. */
+  heardMs: number;
+  misses: number;
+  /** When a suspected peer is declared dead. */
+  suspicionDeadline: number;
+}
+
+/** What the detector asks of its owner. */
+export interface DetectorHooks {
+  /** The peer's log of changes holds something that is not staged here. */
+  onBehind(peer: Member, epoch: number, top: number): void;
+  /** The peer may have confirmed something. */
+  onConfirmed(): void;
+  /** A member that is not in the list sent a probe. */
+  onStranger(id: string, address: string): void;
+  /** The others took this daemon for dead; it has to join again. */
+  onDeclaredDead(): void;
+  /** Flow counts to publish. */
+  loadToPublish(): LoadVector;
+  onLoad(load: LoadVector): void;
+}
+
+/** What a detector is made from. */
+export interface DetectorOptions {
+  readonly members: MemberList;
+  readonly log: ChangeLog;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly hooks: DetectorHooks;
+}
+
+/** Probes the peers of one daemon and judges their answers. */
+export class FailureDetector {
+  private readonly contacts = new Map<string, PeerContact>();
+  private sequence = 0;
+  private turn = 0;
+  private load: LoadVector | undefined;
+  private loadDeadline = 0;
+  private timer: Timer | undefined;
+  private heardFromAnyMs = -Infinity;
+  private alone = true;
+  private trustMs = TRUST_MS;
+  private contactMs = CONTACT_MS;
+
+  private constructor(private readonly options: DetectorOptions) {}
+
+  /** Creates a detector that does nothing until started. */
+  static create(options: DetectorOptions): FailureDetector {
+    return new FailureDetector(options);
+  }
+
+  /** Starts to probe; the returned function stops it. */
+  start(): () => void {
+    this.tick();
+    return () => this.timer?.cancel();
+  }
+
+  /**
+   * Whether the member's knowledge is surely included in this daemon's. For
+   * the daemon itself: whether any peer answered of late, or there is none.
+   */
+  isInTouch(id: string): boolean {
+    const limit = this.options.clock.now() - this.trustMs;
+    if (id !== this.options.members.self.id) {
+      return (this.contacts.get(id)?.answeredSentMs ?? -Infinity) >= limit;
+    }
+    return this.heardFromAnyMs >= limit || this.alone;
+  }
+
+  /** Members whose confirmation is to be waited for. */
+  peersInContact(): string[] {
+    const {clock, members} = this.options;
+    const limit = clock.now() - this.contactMs;
+    return members
+      .others()
+      .filter(member => member.state !== MemberState.LEFT)
+      .filter(({id}) => this.contactOf(id).heardMs >= limit)
+      .map(({id}) => id);
+  }
+
+  /** Sends a probe to every peer at once, to tell of a change. */
+  announce(): void {
+    this.peersToProbe().forEach(peer => this.sendProbe(peer, false));
+  }
+
+  /** Probes one member now, to tell it what is staged here. */
+  probeNow(id: string): void {
+    const peer = this.options.members.get(id);
+    if (peer !== undefined) {
+      this.sendProbe(peer, false);
+    }
+  }
+
+  /** Probes one address now; its member need not be in the list. */
+  greet(address: string): void {
+    this.options.peers.probe(address, this.message(undefined, 0, false));
+  }
+
+  /** Handles a probe or an answer of a member. */
+  onProbe(sender: string, probe: Probe, address: string): void {
+    this.mergeNews(probe);
+    if (probe.relayTo !== '') {
+      this.relay(probe, address);
+      return;
+    }
+    const known = this.options.members.get(sender);
+    if (known === undefined) {
+      this.options.hooks.onStranger(sender, address);
+      return;
+    }
+    this.noteSender(known, probe);
+    if (probe.answer) {
+      this.noteAnswer(sender, probe);
+    } else {
+      this.answer(known, probe, address);
+    }
+  }
+
+  private tick(): void {
+    const {clock} = this.options;
+    this.timer = clock.callAt(clock.now() + PROBE_INTERVAL_MS, () =>
+      this.tick(),
+    );
+    this.turn += 1;
+    this.prepareLoad();
+    this.buryExpired();
+    this.updateBounds();
+    this.greetDead();
+    this.targets().forEach(peer => this.probeInTurn(peer));
+    this.load = undefined;
+    this.options.hooks.onConfirmed();
+  }
+
+  /** Peers probed in this round. */
+  private targets(): Member[] {
+    const peers = this.peersToProbe();
+    if (peers.length < MESH_LIMIT) {
+      return peers;
+    }
+    const start = (this.turn * MESH_LIMIT) % peers.length;
+    return [...peers, ...peers].slice(start, start + MESH_LIMIT);
+  }
+
+  private peersToProbe(): Member[] {
+    return this.options.members.others().filter(answersProbes);
+  }
+
+  /** Bounds grow with the rounds that it takes to probe everyone once. */
+  private updateBounds(): void {
+    const peers = this.peersToProbe().length;
+    const moreRounds = Math.max(1, Math.ceil(peers / MESH_LIMIT)) - 1;
+    this.alone = peers === 0;
+    this.trustMs = TRUST_MS + moreRounds * PROBE_INTERVAL_MS * 2;
+    this.contactMs = CONTACT_MS + moreRounds * PROBE_INTERVAL_MS * 4;
+  }
+
+  /** Probes one dead member now and then, so that a cut heals. */
+  private greetDead(): void {
+    const dead = this.options.members
+      .others()
+      .filter(member => member.state === MemberState.DEAD);
+    if (dead.length > 0 && this.turn % ROUNDS_BETWEEN_GREETINGS === 0) {
+      const position = (this.turn / ROUNDS_BETWEEN_GREETINGS) % dead.length;
+      this.greet(dead[position].address);
+    }
+  }
+
+  private prepareLoad(): void {
+    const {clock, hooks} = this.options;
+    if (clock.now() >= this.loadDeadline) {
+      this.loadDeadline = clock.now() + LOAD_INTERVAL_MS;
+      this.load = hooks.loadToPublish();
+    }
+  }
+
+  private probeInTurn(peer: Member): void {
+    const contact = this.contactOf(peer.id);
+    if (contact.pendingSequence !== 0) {
+      this.noteMiss(peer, contact);
+    }
+    this.sendProbe(peer, true);
+  }
+
+  private noteMiss(peer: Member, contact: PeerContact): void {
+    contact.misses += 1;
+    this.askRelays(peer);
+    const live =
+      peer.state === MemberState.READY || peer.state === MemberState.JOINING;
+    if (contact.misses < MISSES_BEFORE_SUSPICION) {
+      return;
+    }
+    if (live) {
+      this.options.members.mergeMember({...peer, state: MemberState.SUSPECT});
+    } else if (peer.state === MemberState.LEAVING) {
+      this.options.members.mergeMember({...peer, state: MemberState.DEAD});
+    }
+  }
+
+  /** Declares suspected members dead whose time is over. */
+  private buryExpired(): void {
+    const {clock, members} = this.options;
+    members
+      .others()
+      .filter(member => member.state === MemberState.SUSPECT)
+      .forEach(member => {
+        const contact = this.contactOf(member.id);
+        if (contact.suspicionDeadline === 0) {
+          contact.suspicionDeadline = clock.now() + SUSPICION_MS;
+        } else if (contact.suspicionDeadline <= clock.now()) {
+          members.mergeMember({...member, state: MemberState.DEAD});
+        }
+      });
+  }
+
+  private askRelays(peer: Member): void {
+    const probe = this.message(undefined, this.sequence, false);
+    this.peersToProbe()
+      .filter(({id}) => id !== peer.id && this.isInTouch(id))
+      .slice(0, RELAY_COUNT)
+      .forEach(relay =>
+        this.options.peers.probe(relay.address, {
+          ...probe,
+          relayTo: peer.address,
+        }),
+      );
+  }
+
+  /** Probes another member for the sender. */
+  private relay(probe: Probe, address: string): void {
+    this.options.peers.probe(probe.relayTo, {
+      ...probe,
+      ...this.ownState(),
+      relayTo: '',
+      relayFrom: address,
+      load: undefined,
+    });
+  }
+
+  private sendProbe(peer: Member, counted: boolean): void {
+    const contact = this.contactOf(peer.id);
+    this.sequence += 1;
+    if (counted || contact.pendingSequence === 0) {
+      contact.pendingSequence = this.sequence;
+      contact.pendingSentMs = this.options.clock.now();
+    }
+    this.options.peers.probe(
+      peer.address,
+      this.message(peer.id, this.sequence, false),
+    );
+  }
+
+  private answer(peer: Member, probe: Probe, address: string): void {
+    const message = this.message(peer.id, probe.sequence, true);
+    const receiver = probe.relayFrom === '' ? address : probe.relayFrom;
+    this.options.peers.probe(receiver, {
+      ...message,
+      load: undefined,
+      updates: [...message.updates, ...this.newsOfSender(peer, probe)],
+    });
+  }
+
+  /** Tells a member what is said of it, so that it can object. */
+  private newsOfSender(peer: Member, probe: Probe): Member[] {
+    const disputed =
+      peer.state === MemberState.SUSPECT || peer.state === MemberState.DEAD;
+    return disputed && probe.incarnation <= peer.incarnation ? [peer] : [];
+  }
+
+  private message(
+    peer: string | undefined,
+    sequence: number,
+    answer: boolean,
+  ): Probe {
+    const {log, members} = this.options;
+    const seen = log.seen(peer ?? '');
+    return {
+      sequence,
+      answer,
+      ...this.ownState(),
+      updates: members.takeNews(),
+      logEpoch: log.epoch,
+      logTop: log.top,
+      seenEpoch: seen.epoch,
+      seenTop: seen.top,
+      knowledge: log.digest,
+      load: this.load,
+      relayTo: '',
+      relayFrom: '',
+    };
+  }
+
+  private ownState(): {state: MemberState; incarnation: number} {
+    const {state, incarnation} = this.options.members.self;
+    return {state, incarnation};
+  }
+
+  private mergeNews(probe: Probe): void {
+    const {members} = this.options;
+    const self = members.self;
+    probe.updates
+      .filter(update => update.id !== self.id)
+      .forEach(update => members.merge(update));
+    probe.updates
+      .filter(update => update.id === self.id)
+      .forEach(update => this.refute(memberOf(update)));
+  }
+
+  /** Overrides what others say of this daemon. */
+  private refute(said: Member): void {
+    const {members, hooks} = this.options;
+    const self = members.self;
+    const outdated =
+      said.incarnation < self.incarnation || said.state <= self.state;
+    const disputed =
+      said.state === MemberState.SUSPECT || said.state === MemberState.DEAD;
+    if (outdated || !disputed || self.state === MemberState.LEFT) {
+      return;
+    }
+    const wasDead = said.state === MemberState.DEAD;
+    const rejoins = wasDead && self.state !== MemberState.LEAVING;
+    const state = rejoins ? MemberState.JOINING : self.state;
+    members.renewSelf(state, said.incarnation + 1);
+    this.announce();
+    if (rejoins) {
+      hooks.onDeclaredDead();
+    }
+  }
+
+  private noteSender(known: Member, probe: Probe): void {
+    const {clock, hooks, log, members} = this.options;
+    const contact = this.contactOf(known.id);
+    contact.heardMs = clock.now();
+    const {state, incarnation} = memberOf({
+      ...known,
+      state: probe.state,
+      incarnation: probe.incarnation,
+    });
+    members.mergeMember({...known, state, incarnation});
+    if (probe.load !== undefined) {
+      hooks.onLoad(probe.load);
+    }
+    log.markConfirmed(known.id, probe.seenEpoch, probe.seenTop);
+    hooks.onConfirmed();
+    if (!log.isBehind(known.id, probe.logEpoch, probe.logTop)) {
+      return;
+    }
+    if (probe.knowledge === log.digest) {
+      log.markSeen(known.id, probe.logEpoch, probe.logTop);
+    } else {
+      hooks.onBehind(known, probe.logEpoch, probe.logTop);
+    }
+  }
+
+  private noteAnswer(sender: string, probe: Probe): void {
+    const contact = this.contactOf(sender);
+    contact.misses = 0;
+    contact.suspicionDeadline = 0;
+    if (contact.pendingSequence === 0) {
+      return;
+    }
+    // A later probe may be answered too; the first pending one is the older.
+    if (probe.sequence >= contact.pendingSequence) {
+      contact.pendingSequence = 0;
+      contact.answeredSentMs = contact.pendingSentMs;
+      this.heardFromAnyMs = Math.max(
+        this.heardFromAnyMs,
+        contact.pendingSentMs,
+      );
+    }
+  }
+
+  private contactOf(id: string): PeerContact {
+    const known = this.contacts.get(id);
+    if (known !== undefined) {
+      return known;
+    }
+    const created: PeerContact = {
+      pendingSequence: 0,
+      pendingSentMs: 0,
+      answeredSentMs: -Infinity,
+      heardMs: this.options.clock.now(),
+      misses: 0,
+      suspicionDeadline: 0,
+    };
+    this.contacts.set(id, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/src/ports/counters.ts
@@ -0,0 +1,40 @@
+/** The port for counters and gauges; names are listed in docs/METRICS.md. */
+
+/** Names of all counters and gauges. */
+export const Metric = {
+  PACKETS_FORWARDED: 'packets.forwarded',
+  PACKETS_PASSED: 'packets.passed',
+  PACKETS_DECIDED_FOR_PEER: 'packets.decided_for_peer',
+  PACKETS_UNKNOWN_ADDRESS: 'packets.unknown_address',
+  PACKETS_MALFORMED: 'packets.malformed',
+  PACKETS_UNROUTABLE: 'packets.unroutable',
+  FLOWS_PLACED_EXCEPTION: 'flows.placed_exception',
+  FLOWS_TABLE_FULL: 'flows.table_full',
+  FLOWS_HELD: 'flows.held',
+  FLOWS_CACHED: 'flows.cached',
+  PEER_DATAGRAMS_REFUSED: 'peers.datagrams_refused',
+  PEER_CALLS_REFUSED: 'peers.calls_refused',
+  PEER_BYTES_SENT: 'peers.bytes_sent',
+  CONTROL_BYTES_SENT: 'control.bytes_sent',
+  STORE_CALLS: 'store.calls',
+  STORE_FAILURES: 'store.failures',
+  REQUESTS_ANSWERED: 'requests.answered',
+  REQUESTS_NOT_RUN: 'requests.not_run',
+  REQUESTS_UNKNOWN: 'requests.unknown',
+  REQUESTS_RETRIED: 'requests.retried',
+  STREAMS_OPENED: 'streams.opened',
+  STREAMS_REFUSED: 'streams.refused',
+  REVISION_ACTIVE: 'configuration.revision',
+} as const;
+/** One of the names in `Metric`. */
+export type Metric = (typeof Metric)[keyof typeof Metric];
+
+/** Counts what happens; reading back is for status pages and tests. */
+export abstract class Counters {
+  /** Adds `by` (default 1) to a counter. */
+  abstract add(name: Metric, by?: number): void;
+  /** Sets a gauge. */
+  abstract set(name: Metric, value: number): void;
+  /** All current values. */
+  abstract read(): Readonly<Record<string, number>>;
+}
--- /dev/null
+++ b/src/recovery/handover.ts
@@ -0,0 +1,97 @@
+/** Moves flow state when partitions change hands. */
+import {PARTITION_COUNT} from '../routing/flow-key.js';
+import type {Ownership} from '../routing/ownership.js';
+
+/** A set of partitions whose entries go to one member. */
+export interface Transfer {
+  readonly receiver: string;
+  readonly partitions: ReadonlySet<number>;
+  /** Every earlier holder is gone: what peers' answers left behind goes too. */
+  readonly includeCached: boolean;
+}
+
+/** A partition that this daemon has come to own without holding its state. */
+export interface Adoption {
+  readonly partition: number;
+  /** An earlier holder that still runs. */
+  readonly predecessor: string;
+}
+
+/** What a change of ownership asks of one daemon. */
+export interface HandoverPlan {
+  readonly transfers: readonly Transfer[];
+  readonly adoptions: readonly Adoption[];
+}
+
+/** What the plan depends on. */
+export interface HandoverContext {
+  readonly self: string;
+  readonly before: Ownership;
+  readonly after: Ownership;
+  /** Whether a member runs, leaving ones included. */
+  runs(member: string): boolean;
+}
+
+const PARTITIONS = Array.from({length: PARTITION_COUNT}, (_, index) => index);
+
+/** Plans the moves of one daemon; every daemon plans its own. */
+export function planHandover(context: HandoverContext): HandoverPlan {
+  return {
+    transfers: planTransfers(context),
+    adoptions: PARTITIONS.flatMap(partition =>
+      planAdoption(partition, context),
+    ),
+  };
+}
+
+/** Groups the partitions to send by receiver and by how much is sent. */
+function planTransfers(context: HandoverContext): Transfer[] {
+  const groups = new Map<string, Transfer & {partitions: Set<number>}>();
+  PARTITIONS.forEach(partition => {
+    const includeCached = hasNoHolderLeft(partition, context);
+    if (!includeCached && !isSender(partition, context)) {
+      return;
+    }
+    newHolders(partition, context).forEach(receiver => {
+      const key = `${receiver}/${includeCached}`;
+      const group = groups.get(key) ?? {
+        receiver,
+        includeCached,
+        partitions: new Set<number>(),
+      };
+      group.partitions.add(partition);
+      groups.set(key, group);
+    });
+  });
+  return [...groups.values()];
+}
+
+/** Holders that did not hold the partition before, this daemon excluded. */
+function newHolders(partition: number, context: HandoverContext): string[] {
+  const before = context.before.holdersOf(partition);
+  return context.after
+    .holdersOf(partition)
+    .filter(holder => !before.includes(holder) && holder !== context.self);
+}
+
+/** The first earlier holder that runs is the one that sends. */
+function isSender(partition: number, context: HandoverContext): boolean {
+  return (
+    context.before.holdersOf(partition).find(id => context.runs(id)) ===
+    context.self
+  );
+}
+
+function hasNoHolderLeft(partition: number, context: HandoverContext): boolean {
+  const before = context.before.holdersOf(partition);
+  return before.length > 0 && !before.some(id => context.runs(id));
+}
+
+function planAdoption(partition: number, context: HandoverContext): Adoption[] {
+  const before = context.before.holdersOf(partition);
+  const adopts =
+    context.after.ownerOf(partition) === context.self &&
+    !before.includes(context.self);
+  const predecessor = before.find(id => context.runs(id));
+  return adopts && predecessor !== undefined ? [{partition, predecessor}] : [];
+}
--- /dev/null
+++ b/src/recovery/replicator.ts
@@ -0,0 +1,147 @@
+/**
+ * Delivery of flow entries to other daemons: one task a peer, in batches,
+ * each batch confirmed before the next.
+ */
+import type {FlowException} from '../generated/peer.js';
+import type {Clock} from '../ports/clock.js';
+import type {Peers} from '../ports/peers.js';
+
+/** Time in which entries are gathered into a batch, in milliseconds. */
+const BATCH_MS = 100;
+/** Most entries in a batch; about 40 bytes each. */
+const BATCH_ENTRIES = 2_000;
+/** Time a peer has to confirm a batch, in milliseconds. */
+const CONFIRM_MS = 1_000;
+/** Most entries that wait for one peer; the oldest go first. */
+const MAXIMUM_WAITING = 200_000;
+
+/** Whether a peer can still take entries. */
+export type PeerAddressLookup = (member: string) => string | undefined;
+
+/** Entries on their way to one peer. */
+interface PeerQueue {
+  entries: FlowException[];
+  /** Entries of the batch that is not confirmed yet. */
+  inFlight: number;
+  running: boolean;
+}
+
+/** What a replicator is made from. */
+export interface ReplicatorOptions {
+  readonly peers: Peers;
+  readonly clock: Clock;
+  /** The address of a live member; undefined when it is gone. */
+  readonly addressOf: PeerAddressLookup;
+}
+
+/** Sends entries to peers until each has confirmed them or is gone. */
+export class Replicator {
+  private readonly queues = new Map<string, PeerQueue>();
+  private idleWaiters: (() => void)[] = [];
+  private sent = 0;
+
+  private constructor(private readonly options: ReplicatorOptions) {}
+
+  /** Creates a replicator with nothing to send. */
+  static create(options: ReplicatorOptions): Replicator {
+    return new Replicator(options);
+  }
+
+  /** Entries confirmed by peers so far. */
+  get confirmed(): number {
+    return this.sent;
+  }
+
+  /** Entries that no peer has confirmed yet. */
+  get waiting(): number {
+    return [...this.queues.values()].reduce(
+      (sum, queue) => sum + queue.entries.length + queue.inFlight,
+      0,
+    );
+  }
+
+  /** Adds entries for a member. */
+  send(member: string, entries: readonly FlowException[]): void {
+    if (entries.length === 0) {
+      return;
+    }
+    const queue = this.queueOf(member);
+    entries.forEach(entry => queue.entries.push(entry));
+    const excess = queue.entries.length - MAXIMUM_WAITING;
+    if (excess > 0) {
+      queue.entries.splice(0, excess);
+    }
+    if (!queue.running) {
+      queue.running = true;
+      void this.run(member, queue);
+    }
+  }
+
+  /** Resolves when nothing waits, or at the deadline; true when nothing waits. */
+  async settled(deadline: number): Promise<boolean> {
+    if (this.waiting === 0) {
+      return true;
+    }
+    await new Promise<void>(resolve => {
+      const timer = this.options.clock.callAt(deadline, resolve);
+      this.idleWaiters.push(() => {
+        timer.cancel();
+        resolve();
+      });
+    });
+    return this.waiting === 0;
+  }
+
+  /** The task of one peer. */
+  private async run(member: string, queue: PeerQueue): Promise<void> {
+    while (queue.entries.length > 0) {
+      await this.pause();
+      const address = this.options.addressOf(member);
+      if (address === undefined) {
+        queue.entries = [];
+        break;
+      }
+      await this.sendBatch(address, queue);
+    }
+    queue.running = false;
+    if (this.waiting === 0) {
+      this.idleWaiters.forEach(resolve => resolve());
+      this.idleWaiters = [];
+    }
+  }
+
+  private async sendBatch(address: string, queue: PeerQueue): Promise<void> {
+    const batch = queue.entries.splice(0, BATCH_ENTRIES);
+    queue.inFlight = batch.length;
+    const deadline = this.options.clock.now() + CONFIRM_MS;
+    const result = await this.options.peers.pushExceptions(
+      address,
+      batch,
+      deadline,
+    );
+    queue.inFlight = 0;
+    if (result.isOk()) {
+      this.sent += batch.length;
+    } else {
+      // Taking entries twice does no harm, so the whole batch is sent again.
+      queue.entries = [...batch, ...queue.entries];
+    }
+  }
+
+  private pause(): Promise<void> {
+    const {clock} = this.options;
+    return new Promise(resolve => {
+      clock.callAt(clock.now() + BATCH_MS, resolve);
+    });
+  }
+
+  private queueOf(member: string): PeerQueue {
+    const known = this.queues.get(member);
+    if (known !== undefined) {
+      return known;
+    }
+    const created: PeerQueue = {entries: [], inFlight: 0, running: false};
+    this.queues.set(member, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/src/routing/newest-table-router.ts
@@ -0,0 +1,69 @@
+/**
+ * The naive router, kept to be measured against: the newest table over the
+ * servers that are live now, and no memory of flows.
+ */
+import type {Packet} from '../generated/packet.js';
+import type {Hasher} from '../ports/hasher.js';
+import {DecisionKind, DropReason, type Decision} from './decision.js';
+import {FlowKeys, destinationKey} from './flow-key.js';
+import {
+  createMaglevTable,
+  entryCountFor,
+  type LookupTable,
+} from './lookup-table.js';
+import {
+  newestGeneration,
+  type RoutedServer,
+  type RoutingRevision,
+} from './routed-address.js';
+import type {ServerMarks} from './server-marks.js';
+
+interface NewestTable {
+  readonly servers: readonly RoutedServer[];
+  readonly lookup: LookupTable;
+}
+
+/** Routes each packet by the newest table alone. */
+export class NewestTableRouter {
+  private tables = new Map<number, NewestTable>();
+  private readonly keys: FlowKeys;
+
+  private constructor(private readonly hasher: Hasher) {
+    this.keys = FlowKeys.create(hasher);
+  }
+
+  /** Creates a router that knows no address. */
+  static create(hasher: Hasher): NewestTableRouter {
+    return new NewestTableRouter(hasher);
+  }
+
+  /** Takes a revision and marks at once. */
+  stage(revision: RoutingRevision, marks: ServerMarks): void {
+    this.tables = new Map(
+      revision.addresses.map(routed => {
+        const servers = newestGeneration(routed).servers.filter(({id}) =>
+          marks.isEligible(id),
+        );
+        const entries = entryCountFor(servers.length);
+        const lookup = createMaglevTable(servers, entries, this.hasher);
+        const key = destinationKey(routed.address, routed.port);
+        return [key, {servers, lookup}] as const;
+      }),
+    );
+  }
+
+  /** Decides what is done with a packet. */
+  route(packet: Packet): Decision {
+    const table = this.tables.get(
+      destinationKey(packet.destinationAddress, packet.destinationPort),
+    );
+    if (table === undefined) {
+      return {kind: DecisionKind.DROP, reason: DropReason.UNKNOWN_ADDRESS};
+    }
+    const {high} = this.keys.of(packet);
+    const server = table.servers[table.lookup[high % table.lookup.length]];
+    return server === undefined
+      ? {kind: DecisionKind.DROP, reason: DropReason.NO_SERVER}
+      : {kind: DecisionKind.FORWARD, server: server.id};
+  }
+}
--- /dev/null
+++ b/src/routing/placement.ts
@@ -0,0 +1,57 @@
+/** Choice of a server for a new flow of a tracked key. */
+
+/** A server that may take a new flow. */
+export interface Candidate {
+  /** Directory number. */
+  readonly server: number;
+  /** Relative share at this moment; a cold server's grows. */
+  readonly weight: number;
+  /** Estimated open flows. */
+  readonly flows: number;
+}
+
+/** Flows above the lightest server at which the table's choice still stands. */
+const SLACK_FLOWS = 1;
+const SLACK_SHARE = 0.002;
+
+/** A way to choose among servers. */
+export abstract class Placement {
+  /**
+   * Chooses a server. `preferred` is the table's choice, which costs no state
+   * and no message; it may be missing from the candidates. There is at least
+   * one candidate.
+   */
+  abstract choose(candidates: readonly Candidate[], preferred: number): number;
+}
+
+/** Takes the table's choice unless it is above the lightest by more than the slack. */
+export class LightestPlacement extends Placement {
+  private constructor() {
+    super();
+  }
+
+  /** Creates the placement that daemons use. */
+  static create(): LightestPlacement {
+    return new LightestPlacement();
+  }
+
+  choose(candidates: readonly Candidate[], preferred: number): number {
+    const lightest = candidates.reduce((best, candidate) =>
+      fillAfter(candidate) < fillAfter(best) ? candidate : best,
+    );
+    const own = candidates.find(candidate => candidate.server === preferred);
+    return own !== undefined && withinSlack(own, lightest)
+      ? preferred
+      : lightest.server;
+  }
+}
+
+/** Flows a unit of weight once one more flow is placed. */
+function fillAfter(candidate: Candidate): number {
+  return (candidate.flows + 1) / candidate.weight;
+}
+
+function withinSlack(own: Candidate, lightest: Candidate): boolean {
+  const slack = SLACK_FLOWS + lightest.flows * SLACK_SHARE;
+  return fillAfter(own) <= fillAfter(lightest) + slack / own.weight;
+}
--- /dev/null
+++ b/standins/fabric.ts
@@ -0,0 +1,97 @@
+/** Stand-in of the fabric: sprays each packet to any live daemon. */
+import type dgram from 'node:dgram';
+import {GrpcInstanceList} from '../src/adapters/grpc-instance-list.js';
+import {SystemClock} from '../src/adapters/system-clock.js';
+import {bindUdp, sendUdp} from '../src/adapters/udp-socket.js';
+import {startStandinServer, turnKnobs} from './knobs.js';
+import {Random} from './random.js';
+
+const POLL_MS = 200;
+const LONGEST_REORDER_MS = 20;
+
+/** What the fabric is made from. */
+export interface FabricStandinOptions {
+  /** "ip:port" for callers' packets (UDP) and knobs (TCP). */
+  readonly address: string;
+  /** "ip:port" of the instance list. */
+  readonly list: string;
+  readonly seed: number;
+}
+
+/** Sprays packets over the daemons that the instance list shows as live. */
+export class FabricStandin {
+  private readonly random: Random;
+  private daemons: string[] = [];
+  private readonly knobs = {
+    /** Shares of packets. */
+    drop: 0,
+    duplicate: 0,
+    reorder: 0,
+  };
+  private readonly counts = {packets: 0, dropped: 0, noDaemon: 0};
+
+  private constructor(
+    private readonly socket: dgram.Socket,
+    private readonly list: GrpcInstanceList,
+    seed: number,
+  ) {
+    this.random = Random.create(seed);
+  }
+
+  /** Starts the fabric. */
+  static async create(options: FabricStandinOptions): Promise<FabricStandin> {
+    const socket = await bindUdp(options.address);
+    const clock = SystemClock.create();
+    const list = GrpcInstanceList.create(options.list, clock);
+    const fabric = new FabricStandin(socket, list, options.seed);
+    await startStandinServer(options.address, settings =>
+      fabric.turn(settings),
+    );
+    socket.on('message', bytes => fabric.spray(bytes));
+    void fabric.follow();
+    return fabric;
+  }
+
+  private turn(settings: Record<string, unknown>): unknown {
+    turnKnobs(this.knobs, settings);
+    return {...this.counts, daemons: this.daemons};
+  }
+
+  /** Reads the list again and again. */
+  private async follow(): Promise<void> {
+    const listing = await this.list.list();
+    listing.map(({instances}) => {
+      this.daemons = instances
+        .filter(({role, state}) => role === 'daemon' && state === 'live')
+        .map(({fabricAddress}) => fabricAddress);
+      return instances;
+    });
+    setTimeout(() => void this.follow(), POLL_MS);
+  }
+
+  private spray(bytes: Buffer): void {
+    this.counts.packets += 1;
+    if (this.random.happens(this.knobs.drop)) {
+      this.counts.dropped += 1;
+      return;
+    }
+    if (this.random.happens(this.knobs.duplicate)) {
+      this.deliver(bytes);
+    }
+    if (this.random.happens(this.knobs.reorder)) {
+      const delay = this.random.below(LONGEST_REORDER_MS);
+      setTimeout(() => this.deliver(bytes), delay);
+    } else {
+      this.deliver(bytes);
+    }
+  }
+
+  private deliver(bytes: Buffer): void {
+    const daemon = this.random.pick(this.daemons);
+    if (daemon === undefined) {
+      this.counts.noDaemon += 1;
+      return;
+    }
+    sendUdp(this.socket, daemon, bytes);
+  }
+}
