--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -9,7 +9,14 @@
 import type {Peers} from '../ports/peers.js';
 import type {ChangeLog} from './change-log.js';
 import type {MemberList} from './member-list.js';
-import {MemberState, answersProbes, memberOf, type Member} from './member.js';
+import {
+  MemberState,
+  answersProbes,
+  lifeOf,
+  memberOf,
+  nextLife,
+  type Member,
+} from './member.js';
 import {
   CONTACT_MS,
   LOAD_INTERVAL_MS,
@@ -74,7 +81,9 @@
   private trustMs = TRUST_MS;
   private contactMs = CONTACT_MS;
 
-  private constructor(private readonly options: DetectorOptions) {}
+  private constructor(private readonly options: DetectorOptions) {
+    options.members.onChange(() => this.updateBounds());
+  }
 
   /** Creates a detector that does nothing until started. */
   static create(options: DetectorOptions): FailureDetector {
@@ -156,7 +165,6 @@
     this.turn += 1;
     this.prepareLoad();
     this.buryExpired();
-    this.updateBounds();
     this.greetDead();
     this.targets().forEach(peer => this.probeInTurn(peer));
     this.load = undefined;
@@ -295,7 +303,11 @@
   private newsOfSender(peer: Member, probe: Probe): Member[] {
     const disputed =
       peer.state === MemberState.SUSPECT || peer.state === MemberState.DEAD;
-    return disputed && probe.incarnation <= peer.incarnation ? [peer] : [];
+    const isNews =
+      probe.incarnation <= peer.incarnation ||
+      (peer.state === MemberState.DEAD &&
+        lifeOf(probe.incarnation) === lifeOf(peer.incarnation));
+    return disputed && isNews ? [peer] : [];
   }
 
   private message(
@@ -339,21 +351,33 @@
 
   /** Overrides what others say of this daemon. */
   private refute(said: Member): void {
-    const {members, hooks} = this.options;
+    const {members} = this.options;
     const self = members.self;
-    const outdated =
-      said.incarnation < self.incarnation || said.state <= self.state;
-    const disputed =
-      said.state === MemberState.SUSPECT || said.state === MemberState.DEAD;
-    if (outdated || !disputed || self.state === MemberState.LEFT) {
+    const sameLife = lifeOf(said.incarnation) === lifeOf(self.incarnation);
+    const isOver = self.state === MemberState.LEFT;
+    if (isOver || !sameLife) {
       return;
     }
-    const wasDead = said.state === MemberState.DEAD;
-    const rejoins = wasDead && self.state !== MemberState.LEAVING;
-    const state = rejoins ? MemberState.JOINING : self.state;
-    members.renewSelf(state, said.incarnation + 1);
+    if (said.state === MemberState.DEAD) {
+      this.startNewLife();
+    } else if (
+      said.state === MemberState.SUSPECT &&
+      said.incarnation >= self.incarnation
+    ) {
+      members.renewSelf(self.state, said.incarnation + 1);
+      this.announce();
+    }
+  }
+
+  /** Others own this daemon's part by now, so it has to join again. */
+  private startNewLife(): void {
+    const {members, hooks} = this.options;
+    const self = members.self;
+    const leaves = self.state === MemberState.LEAVING;
+    const state = leaves ? MemberState.LEAVING : MemberState.JOINING;
+    members.renewSelf(state, nextLife(self.incarnation));
     this.announce();
-    if (rejoins) {
+    if (!leaves) {
       hooks.onDeclaredDead();
     }
   }
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -3,7 +3,8 @@
 
 /**
  * States of a member. Within one incarnation a higher state replaces a lower
- * one; a higher incarnation replaces everything.
+ * one. A member that lives on is of a higher incarnation; one that was taken
+ * for dead, rightly or not, comes back in a new life, by joining again.
  */
 export const MemberState = {
   JOINING: 0,
@@ -40,11 +41,24 @@
 /** Incarnations of one run of a daemon; a new run starts at a later number. */
 const INCARNATIONS_A_RUN = 4_096;
 
+/** Incarnations of one life. */
+const INCARNATIONS_A_LIFE = 64;
+
 /** The first incarnation of a run that starts at `wallMs`. */
 export function firstIncarnation(wallMs: number): number {
   return wallMs * INCARNATIONS_A_RUN;
 }
 
+/** The life that an incarnation belongs to. */
+export function lifeOf(incarnation: number): number {
+  return Math.floor(incarnation / INCARNATIONS_A_LIFE);
+}
+
+/** The first incarnation of the life after the one of an incarnation. */
+export function nextLife(incarnation: number): number {
+  return (lifeOf(incarnation) + 1) * INCARNATIONS_A_LIFE;
+}
+
 /** Names one run of a daemon: a restarted one remembers nothing. */
 export function runOf(member: Member): string {
   const run = Math.floor(member.incarnation / INCARNATIONS_A_RUN);
@@ -70,6 +84,14 @@
 
 /** Whether news `next` replaces what is known. */
 export function replaces(next: Member, known: Member): boolean {
+  const lives = lifeOf(next.incarnation) - lifeOf(known.incarnation);
+  if (lives !== 0) {
+    return lives > 0;
+  }
+  if (known.state >= MemberState.DEAD || next.state >= MemberState.DEAD) {
+    // The end of a life stands, whatever its last incarnation was.
+    return next.state > known.state;
+  }
   return (
     next.incarnation > known.incarnation ||
     (next.incarnation === known.incarnation && next.state > known.state)
--- a/src/recovery/flow-coordinator.ts
+++ b/src/recovery/flow-coordinator.ts
@@ -37,10 +37,12 @@
   type Arrival,
   type Decision,
   type Forward,
+  type Pass,
 } from '../routing/decision.js';
 import {Ownership} from '../routing/ownership.js';
 import {
   Router,
+  type EntryUpdate,
   type RouterOptions,
   type StateScope,
 } from '../routing/router.js';
@@ -48,6 +50,8 @@
 import {Replicator} from './replicator.js';
 
 const PULL_MS = 3_000;
+/** Longest time to wait for the owners' answers, in milliseconds. */
+const TOUCH_MS = 2_000;
 const SWEEP_INTERVAL_MS = 1_000;
 const REBUILD_INTERVAL_MS = 30_000;
 const FLUSH_INTERVAL_MS = 50;
@@ -70,6 +74,12 @@
   readonly placement?: RouterOptions['placement'];
 }
 
+/** An entry made here and the monotonic time until which it may be sent again. */
+interface RecentUpdate {
+  readonly update: EntryUpdate;
+  readonly deadline: number;
+}
+
 /** The part of the peers' handlers that is about flows and members. */
 export type FlowHandlers = Omit<
   PeerHandlers,
@@ -88,6 +98,8 @@
   private readonly pulling = new Set<string>();
   private readonly cleanups: (() => void)[] = [];
   private rejoining = false;
+  /** Entries made here of late, in the order of their deadlines. */
+  private recent: RecentUpdate[] = [];
 
   private constructor(private readonly options: FlowCoordinatorOptions) {
     const {self, clock, hasher, peers} = options;
@@ -172,7 +184,7 @@
     const {clock} = this.options;
     this.cleanups.push(
       this.detector.start(),
-      repeat(clock, SWEEP_INTERVAL_MS, () => this.router.sweep()),
+      repeat(clock, SWEEP_INTERVAL_MS, () => this.sweep()),
       repeat(clock, REBUILD_INTERVAL_MS, () => this.router.rebuild()),
       repeat(clock, FLUSH_INTERVAL_MS, () => this.flush()),
     );
@@ -187,9 +199,7 @@
   async join(addresses: readonly string[]): Promise<void> {
     await Promise.all(addresses.map(address => this.learnFrom(address)));
     await this.waitUntil(() => this.knowledge.staged.revision > 0);
-    await this.fetchState();
-    this.members.moveSelf(MemberState.READY);
-    this.detector.announce();
+    await this.becomeReady();
     this.options.timeline.record(EventKind.READY, {
       revision: this.knowledge.staged.revision,
     });
@@ -238,13 +248,20 @@
     this.cleanups.forEach(cleanup => cleanup());
   }
 
+  private sweep(): void {
+    const now = this.options.clock.now();
+    this.recent = this.recent.filter(({deadline}) => deadline > now);
+    this.router.sweep();
+  }
+
   private onPassed(sender: string, passed: PassedPacket): void {
     const packet = decodePassed(passed);
     if (packet === undefined) {
       this.options.counters.add(Metric.PACKETS_MALFORMED);
       return;
     }
-    const arrival: Arrival = {hops: passed.hops, decide: passed.decide};
+    const {hops, decide, chain} = passed;
+    const arrival: Arrival = {hops, decide, chain};
     const decision = this.router.route(packet, arrival);
     const bytes = passed.packet;
     this.options.counters.add(Metric.PACKETS_DECIDED_FOR_PEER);
@@ -264,9 +281,9 @@
         this.options.backends.send(forward.server, packet.bytes);
         this.sendHint(forward, packet.packet, entry);
       })
-      .with({kind: DecisionKind.PASS}, ({member, decide}) => {
+      .with({kind: DecisionKind.PASS}, pass => {
         counters.add(Metric.PACKETS_PASSED);
-        this.pass(member, packet.bytes, arrival.hops + 1, decide, entry);
+        this.pass(pass, packet.bytes, arrival.hops + 1, entry);
       })
       .with({kind: DecisionKind.DROP}, ({reason}) =>
         counters.add(
@@ -279,20 +296,26 @@
   }
 
   private pass(
-    member: string,
+    pass: Pass,
     bytes: Uint8Array,
     hops: number,
-    decide: boolean,
     entry: string,
   ): void {
-    const address = this.members.get(member)?.address;
+    const address = this.members.get(pass.member)?.address;
     if (address !== undefined) {
+      const {decide, chain} = pass;
       const packet = Buffer.from(
         bytes.buffer,
         bytes.byteOffset,
         bytes.byteLength,
       );
-      this.options.peers.pass(address, {hops, decide, entry, packet});
+      this.options.peers.pass(address, {
+        hops,
+        decide,
+        entry,
+        packet,
+        chain: [...chain],
+      });
     }
   }
 
@@ -336,13 +359,15 @@
       self: this.members.self.id,
       before,
       after: this.ownership,
+      withoutSelf: this.ownershipWithoutSelf(),
       runs: id => this.runs(id),
     });
     plan.transfers.forEach(transfer => this.transfer(transfer));
-    plan.adoptions.forEach(({partition, predecessor}) =>
-      this.router.usePredecessor(
+    this.resendRecent(before);
+    plan.adoptions.forEach(({partition, predecessors}) =>
+      this.router.usePredecessors(
         partition,
-        predecessor,
+        predecessors,
         clock.now() + PREDECESSOR_MS,
       ),
     );
@@ -363,6 +388,13 @@
     });
   }
 
+  private ownershipWithoutSelf(): Ownership {
+    const others = this.members
+      .owners()
+      .filter(({id}) => id !== this.members.self.id);
+    return Ownership.create(others, this.options.hasher);
+  }
+
   private transfer(transfer: Transfer): void {
     const entries = this.router.exceptionsOf(
       transfer.partitions,
@@ -377,9 +409,27 @@
     }
   }
 
+  /**
+   * Sends entries made here a moment ago to new holders. They may be on their
+   * way to holders that have sent off what they had.
+   */
+  private resendRecent(before: Ownership): void {
+    const now = this.options.clock.now();
+    this.recent = this.recent.filter(({deadline}) => deadline > now);
+    this.recent.forEach(({update: {partition, exception}}) => {
+      const known = [...before.holdersOf(partition), this.members.self.id];
+      this.ownership
+        .holdersOf(partition)
+        .filter(holder => !known.includes(holder))
+        .forEach(holder => this.replicator.send(holder, [exception]));
+    });
+  }
+
   /** Sends changed entries to the other holders of their partitions. */
   private flush(): void {
     const updates = this.router.takeUpdates();
+    const deadline = this.options.clock.now() + PREDECESSOR_MS;
+    updates.forEach(update => this.recent.push({update, deadline}));
     const byReceiver = new Map<string, FlowException[]>();
     updates.forEach(({partition, exception}) =>
       this.ownership
@@ -480,14 +530,36 @@
       return;
     }
     this.rejoining = true;
-    await this.fetchState();
+    await this.becomeReady();
     this.rejoining = false;
+  }
+
+  /**
+   * Owns partitions from now on. Packets of unknown flows are passed to the
+   * owners before, so these must be in touch first.
+   */
+  private async becomeReady(): Promise<void> {
+    const deadline = this.options.clock.now() + TOUCH_MS;
+    this.detector.announce();
+    await this.waitUntil(
+      () => this.isInTouchWithOwners() || this.options.clock.now() > deadline,
+    );
+    await this.fetchState();
     if (this.members.self.state === MemberState.JOINING) {
       this.members.moveSelf(MemberState.READY);
       this.detector.announce();
     }
   }
 
+  private isInTouchWithOwners(): boolean {
+    return this.members
+      .owners()
+      .every(
+        ({id}) =>
+          id === this.members.self.id || this.detector.isInTouch(id),
+      );
+  }
+
   private memberMessage(): MemberListMessage {
     return {
       members: this.members.all().map(member => ({...member})),
--- a/src/recovery/handover.ts
+++ b/src/recovery/handover.ts
@@ -10,11 +10,11 @@
   readonly includeCached: boolean;
 }
 
-/** A partition that this daemon has come to own without holding its state. */
+/** A partition that this daemon owns and whose state others may still have. */
 export interface Adoption {
   readonly partition: number;
-  /** An earlier holder that still runs. */
-  readonly predecessor: string;
+  /** Holders before, and those that hold it by views without this daemon. */
+  readonly predecessors: readonly string[];
 }
 
 /** What a change of ownership asks of one daemon. */
@@ -28,6 +28,8 @@
   readonly self: string;
   readonly before: Ownership;
   readonly after: Ownership;
+  /** The ownership among the members after, this daemon left out. */
+  readonly withoutSelf: Ownership;
   /** Whether a member runs, leaving ones included. */
   runs(member: string): boolean;
 }
@@ -87,11 +89,22 @@
   return before.length > 0 && !before.some(id => context.runs(id));
 }
 
-function planAdoption(partition: number, context: HandoverContext): Adoption[] {
-  const before = context.before.holdersOf(partition);
+/**
+ * Another daemon that joined a moment ago may have owned the partition by the
+ * views of some, unknown to this daemon until now; so it is asked as well.
+ */
+function planAdoption(
+  partition: number,
+  context: HandoverContext,
+): Adoption[] {
+  const {self, before, after, withoutSelf} = context;
+  const earlier = before.holdersOf(partition);
+  const rivals = withoutSelf.holdersOf(partition);
+  const predecessors = [...new Set([...earlier, ...rivals])].filter(
+    id => id !== self && context.runs(id),
+  );
   const adopts =
-    context.after.ownerOf(partition) === context.self &&
-    !before.includes(context.self);
-  const predecessor = before.find(id => context.runs(id));
-  return adopts && predecessor !== undefined ? [{partition, predecessor}] : [];
+    after.ownerOf(partition) === self &&
+    (!earlier.includes(self) || rivals.some(id => !earlier.includes(id)));
+  return adopts && predecessors.length > 0 ? [{partition, predecessors}] : [];
 }
--- a/src/routing/decision.ts
+++ b/src/routing/decision.ts
@@ -34,6 +34,8 @@
   readonly member: string;
   /** The receiver decides, whatever its own view says. */
   readonly decide: boolean;
+  /** Members that the receiver asks next when it has no entry. */
+  readonly chain: readonly string[];
 }
 
 /** Drop the packet and count it. */
@@ -49,9 +51,11 @@
 export interface Arrival {
   /** Daemons that handled the packet before; 0 from the fabric. */
   readonly hops: number;
-  /** The sender left the decision to this daemon. */
+  /** The sender left the decision to this daemon, or to the chain's last. */
   readonly decide: boolean;
+  /** Members still to be asked. */
+  readonly chain: readonly string[];
 }
 
 /** The arrival of a packet from the fabric. */
-export const FROM_FABRIC: Arrival = {hops: 0, decide: false};
+export const FROM_FABRIC: Arrival = {hops: 0, decide: false, chain: []};
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -33,7 +33,10 @@
 import {ServerMarks} from './server-marks.js';
 
 /** Daemons that may handle one packet, the one from the fabric included. */
-export const MAXIMUM_HOPS = 3;
+export const MAXIMUM_HOPS = 6;
+
+/** Earlier holders asked, at the most. */
+const MAXIMUM_PREDECESSORS = 3;
 
 /** Seconds that a peer's answer is used before the owner is asked again. */
 const CACHE_SECONDS = 30;
@@ -99,7 +102,8 @@
   private readonly keys: FlowKeys;
   private readonly builder: TableBuilder;
   private readonly placement: Placement;
-  private readonly predecessors = new Map<number, Predecessor>();
+  /** Earlier holders by partition, the latest first. */
+  private readonly predecessors = new Map<number, Predecessor[]>();
   private tables = new Map<number, AddressTable>();
   private stagedMarks = ServerMarks.create();
   private activeMarks = ServerMarks.create();
@@ -178,16 +182,29 @@
     this.view = view;
   }
 
-  /** Asks a previous holder for unknown flows of a partition until a deadline. */
-  usePredecessor(partition: number, member: string, deadline: number): void {
-    this.predecessors.set(partition, {member, deadline});
+  /** Asks earlier holders for unknown flows of a partition until a deadline. */
+  usePredecessors(
+    partition: number,
+    members: readonly string[],
+    deadline: number,
+  ): void {
+    const known = this.predecessors.get(partition) ?? [];
+    const others = known.filter(({member}) => !members.includes(member));
+    const latest = members.map(member => ({member, deadline}));
+    this.predecessors.set(
+      partition,
+      [...latest, ...others].slice(0, MAXIMUM_PREDECESSORS),
+    );
   }
 
   /** Stops asking a member that is gone. */
-  forgetPredecessor(member: string): void {
-    [...this.predecessors]
-      .filter(([, predecessor]) => predecessor.member === member)
-      .forEach(([partition]) => this.predecessors.delete(partition));
+  forgetPredecessor(gone: string): void {
+    this.predecessors.forEach((known, partition) =>
+      this.predecessors.set(
+        partition,
+        known.filter(({member}) => member !== gone),
+      ),
+    );
   }
 
   /** Decides what is done with a packet. */
@@ -215,7 +232,7 @@
   onHint(hint: Hint): void {
     const key = {high: hint.keyHigh, low: hint.keyLow};
     const place = this.flows.find(key);
-    if (place >= 0 && this.flows.kindAt(place) === EntryKind.HELD) {
+    if (place >= 0 && this.flows.kindAt(place) !== EntryKind.CACHED) {
       return;
     }
     if (hint.server === '') {
@@ -329,35 +346,72 @@
     owner: string,
     arrival: Arrival,
   ): Decision | undefined {
-    if (arrival.decide || arrival.hops + 1 >= MAXIMUM_HOPS) {
+    if (arrival.hops + 1 >= MAXIMUM_HOPS) {
       return undefined;
     }
+    if (arrival.decide) {
+      return this.passAlong(key, arrival.chain);
+    }
     const partition = partitionOf(key);
     if (owner === this.options.self && this.view.isInTouch(owner)) {
-      return this.passToPredecessor(key, partition);
+      return this.passAlong(key, this.predecessorsOf(partition));
     }
-    const backup = this.view.ownership.backupOf(partition);
-    const receiver = this.view.isInTouch(owner) ? owner : backup;
+    const receiver = this.deciderOf(partition, owner);
     return receiver === undefined || receiver === this.options.self
       ? undefined
-      : {kind: DecisionKind.PASS, member: receiver, decide: false};
+      : {
+          kind: DecisionKind.PASS,
+          member: receiver,
+          decide: false,
+          chain: [],
+        };
   }
 
-  private passToPredecessor(
+  /**
+   * The backup decides for an owner that is not in touch. A daemon that nobody
+   * answers was cut off or paused; what it knows may be old, so it asks
+   * whoever else there is.
+   */
+  private deciderOf(partition: number, owner: string): string | undefined {
+    const {self} = this.options;
+    const backup = this.view.ownership.backupOf(partition);
+    if (!this.view.isInTouch(self)) {
+      return owner === self ? backup : owner;
+    }
+    return this.view.isInTouch(owner) ? owner : backup;
+  }
+
+  /** Asks the next of several members, unless this daemon has the answer. */
+  private passAlong(
     key: FlowKey,
-    partition: number,
+    chain: readonly string[],
   ): Decision | undefined {
-    const predecessor = this.predecessors.get(partition);
-    if (predecessor === undefined) {
-      return undefined;
+    const [member, ...rest] = chain.filter(
+      id => id !== this.options.self && this.view.isInTouch(id),
+    );
+    return member === undefined || this.isPlacedHere(key)
+      ? undefined
+      : {kind: DecisionKind.PASS, member, decide: true, chain: rest};
+  }
+
+  private predecessorsOf(partition: number): string[] {
+    const known = this.predecessors.get(partition);
+    if (known === undefined) {
+      return [];
     }
-    if (predecessor.deadline <= this.options.clock.now()) {
+    const now = this.options.clock.now();
+    const current = known.filter(({deadline}) => deadline > now);
+    if (current.length === 0) {
       this.predecessors.delete(partition);
-      return undefined;
     }
-    return this.flows.find(key) >= 0 || !this.view.isInTouch(predecessor.member)
-      ? undefined
-      : {kind: DecisionKind.PASS, member: predecessor.member, decide: true};
+    return current.map(({member}) => member);
+  }
+
+  /** Whether this daemon's own entry says where the flow is. */
+  private isPlacedHere(key: FlowKey): boolean {
+    const place = this.flows.find(key);
+    const kind = place < 0 ? EntryKind.EMPTY : this.flows.kindAt(place);
+    return kind === EntryKind.HELD || kind === EntryKind.RECENT;
   }
 
   /** Decides by this daemon's own entries. */
@@ -367,6 +421,10 @@
     packet: Packet,
     arrival: Arrival,
   ): Decision {
+    if (!this.isTracked(table, key)) {
+      // An entry would be found by nobody: the others ask no one for this key.
+      return this.forwardToBase(table, key, packet);
+    }
     const place = this.flows.find(key);
     const kind = place < 0 ? EntryKind.EMPTY : this.flows.kindAt(place);
     const known =
