--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -140,10 +140,18 @@
   /** Handles a probe or an answer of a member. */
   onProbe(sender: string, probe: Probe, address: string): void {
     this.mergeNews(probe);
-    if (probe.relayTo !== '') {
+    if (probe.subject !== '') {
+      this.noteVouched(probe.subject);
+    } else if (probe.relayTo !== '') {
       this.relay(probe, address);
-      return;
+    } else if (probe.answer && probe.relayFrom !== '') {
+      this.relayAnswer(sender, probe);
+    } else {
+      this.handle(sender, probe, address);
     }
+  }
+
+  private handle(sender: string, probe: Probe, address: string): void {
     const known = this.options.members.get(sender);
     if (known === undefined) {
       this.options.hooks.onStranger(sender, address);
@@ -276,6 +284,22 @@
     });
   }
 
+  /** Hands an answer to the member that asked for the relayed probe. */
+  private relayAnswer(sender: string, probe: Probe): void {
+    this.options.peers.probe(probe.relayFrom, {
+      ...this.message(undefined, probe.sequence, true),
+      subject: sender,
+      load: undefined,
+    });
+  }
+
+  /** A relay had an answer: the member lives, though it is not in touch. */
+  private noteVouched(id: string): void {
+    const contact = this.contactOf(id);
+    contact.misses = 0;
+    contact.suspicionDeadline = 0;
+  }
+
   private sendProbe(peer: Member, counted: boolean): void {
     const contact = this.contactOf(peer.id);
     this.sequence += 1;
@@ -291,9 +315,9 @@
 
   private answer(peer: Member, probe: Probe, address: string): void {
     const message = this.message(peer.id, probe.sequence, true);
-    const receiver = probe.relayFrom === '' ? address : probe.relayFrom;
-    this.options.peers.probe(receiver, {
+    this.options.peers.probe(address, {
       ...message,
+      relayFrom: probe.relayFrom,
       load: undefined,
       updates: [...message.updates, ...this.newsOfSender(peer, probe)],
     });
@@ -330,6 +354,7 @@
       load: this.load,
       relayTo: '',
       relayFrom: '',
+      subject: '',
     };
   }
 
--- a/src/recovery/flow-coordinator.ts
+++ b/src/recovery/flow-coordinator.ts
@@ -385,6 +385,9 @@
       ownership: this.ownership,
       members: Math.max(1, owners.length),
       isInTouch: id => this.detector.isInTouch(id),
+      relays: owners
+        .map(({id}) => id)
+        .filter(id => id !== this.members.self.id),
     });
   }
 
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -35,6 +35,9 @@
 /** Daemons that may handle one packet, the one from the fabric included. */
 export const MAXIMUM_HOPS = 6;
 
+/** Hops after which a backup takes its owner to be unreachable for all. */
+const HOPS_BEFORE_BACKUP = 2;
+
 /** Earlier holders asked, at the most. */
 const MAXIMUM_PREDECESSORS = 3;
 
@@ -65,6 +68,8 @@
    * the daemon itself, whether it was heard by any peer of late.
    */
   isInTouch(member: string): boolean;
+  /** Other members, which may reach a member that this one does not. */
+  readonly relays: readonly string[];
 }
 
 /** What a router is made from. */
@@ -123,6 +128,7 @@
       ownership: Ownership.create(alone, options.hasher),
       members: 1,
       isInTouch: () => true,
+      relays: [],
     };
   }
 
@@ -356,29 +362,34 @@
     if (owner === this.options.self && this.view.isInTouch(owner)) {
       return this.passAlong(key, this.predecessorsOf(partition));
     }
-    const receiver = this.deciderOf(partition, owner);
+    const receiver = this.deciderOf(partition, owner, arrival.hops);
     return receiver === undefined || receiver === this.options.self
       ? undefined
-      : {
-          kind: DecisionKind.PASS,
-          member: receiver,
-          decide: false,
-          chain: [],
-        };
+      : {kind: DecisionKind.PASS, member: receiver, decide: false, chain: []};
   }
 
   /**
-   * The backup decides for an owner that is not in touch. A daemon that nobody
-   * answers was cut off or paused; what it knows may be old, so it asks
-   * whoever else there is.
+   * Whom to ask for the owner's answer. The backup decides for an owner that
+   * neither it nor another member reaches; a cut between the two alone must
+   * not have both decide. A daemon that nobody answers was cut off or paused;
+   * what it knows may be old.
    */
-  private deciderOf(partition: number, owner: string): string | undefined {
+  private deciderOf(
+    partition: number,
+    owner: string,
+    hops: number,
+  ): string | undefined {
     const {self} = this.options;
+    const {isInTouch, relays} = this.view;
     const backup = this.view.ownership.backupOf(partition);
-    if (!this.view.isInTouch(self)) {
+    if (!isInTouch(self)) {
       return owner === self ? backup : owner;
     }
-    return this.view.isInTouch(owner) ? owner : backup;
+    if (isInTouch(owner)) {
+      return owner;
+    }
+    const relay = relays.find(id => id !== owner && isInTouch(id));
+    return backup === self && hops < HOPS_BEFORE_BACKUP ? relay : backup;
   }
 
   /** Asks the next of several members, unless this daemon has the answer. */
