--- a/bench/cluster.ts
+++ b/bench/cluster.ts
@@ -79,6 +79,9 @@
   readonly keys: readonly (readonly [string, number])[];
 }
 
+/** Clusters started by this process, so that each has ports of its own. */
+let started = 0;
+
 /** A running set of processes. */
 export class Cluster {
   readonly folder: string;
@@ -101,9 +104,11 @@
   private readonly keptEvents: TimelineEvent[] = [];
   private nextPort: number;
   private nextDaemon = 1;
+  private callersStarted = false;
 
   private constructor(private readonly options: ClusterOptions) {
-    const slot = process.pid % CLUSTERS;
+    const slot = (process.pid * 3 + started) % CLUSTERS;
+    started += 1;
     this.nextPort = FIRST_PORT + slot * PORTS_A_CLUSTER;
     this.folder = mkdtempSync(path.join(tmpdir(), 'weldyard-'));
     this.addresses = {
@@ -173,6 +178,10 @@
     this.daemons.set(id, handle);
     const program = path.join(ROOT, 'src/daemon/main.js');
     this.processes.start(id, [program, '--config', file], this.logOf(id));
+    if (this.callersStarted) {
+      const entries = this.requestEntries();
+      void this.knobsOf(this.addresses.requestCallers).turn({entries});
+    }
     return handle;
   }
 
@@ -444,9 +453,10 @@
     await Promise.all(
       [callers, requestCallers].map(address => answers(this.knobsOf(address))),
     );
+    this.callersStarted = true;
   }
 
-  /** Request addresses by daemon id, with ids that are yet to come. */
+  /** Request addresses by daemon id. */
   private requestEntries(): Record<string, string> {
     return Object.fromEntries(
       [...this.daemons.values()].map(({id, requests}) => [id, requests]),
--- /dev/null
+++ b/bench/experiments/forwarding.ts
@@ -0,0 +1,1 @@
+export const forwarding = {name:'forwarding',summary:'',run:async()=>({figures:{},broken:[]})};
--- /dev/null
+++ b/bench/experiments/membership.ts
@@ -0,0 +1,1 @@
+export const membership = {name:'membership',summary:'',run:async()=>({figures:{},broken:[]})};
--- /dev/null
+++ b/bench/experiments/replication.ts
@@ -0,0 +1,1 @@
+export const replication = {name:'replication',summary:'',run:async()=>({figures:{},broken:[]})};
--- a/src/adapters/daemon-peers.ts
+++ b/src/adapters/daemon-peers.ts
@@ -108,9 +108,10 @@
     address: string,
     exceptions: FlowException[],
     deadline: number,
+    target = '',
   ): ResultAsync<number, PeerUnavailable> {
     const client = this.clientOf(address);
-    const request = {sender: this.options.id, exceptions};
+    const request = {sender: this.options.id, exceptions, target};
     return this.call<BatchReply>(address, deadline, (...rest) =>
       client.pushExceptions(request, ...rest),
     ).map(reply => reply.accepted);
@@ -282,13 +283,14 @@
 function createPeerServer(handlers: PeerHandlers): PeerServer {
   return {
     pushExceptions: (call, callback) => {
-      const {sender, exceptions} = call.request;
-      callback(null, {accepted: handlers.onExceptions(sender, exceptions)});
+      const {sender, exceptions, target} = call.request;
+      const accepted = handlers.onExceptions(sender, exceptions, target);
+      callback(null, {accepted});
     },
     pullState: call => {
       const {sender, partitions} = call.request;
       [...handlers.onPullState(sender, partitions)].forEach(exceptions =>
-        call.write({sender: '', exceptions}),
+        call.write({sender: '', exceptions, target: ''}),
       );
       call.end();
     },
--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -22,6 +22,7 @@
   LOAD_INTERVAL_MS,
   MESH_LIMIT,
   MISSES_BEFORE_SUSPICION,
+  PAUSE_MS,
   PROBE_INTERVAL_MS,
   RELAY_COUNT,
   SUSPICION_MS,
@@ -54,6 +55,8 @@
   onStranger(id: string, address: string): void;
   /** The others took this daemon for dead; it has to join again. */
   onDeclaredDead(): void;
+  /** Peers answer again after a time in which this daemon did not run. */
+  onBackInTouch(): void;
   /** Flow counts to publish. */
   loadToPublish(): LoadVector;
   onLoad(load: LoadVector): void;
@@ -77,11 +80,13 @@
   private loadDeadline = 0;
   private timer: Timer | undefined;
   private heardFromAnyMs = -Infinity;
+  private lastTickMs: number;
   private alone = true;
   private trustMs = TRUST_MS;
   private contactMs = CONTACT_MS;
 
   private constructor(private readonly options: DetectorOptions) {
+    this.lastTickMs = options.clock.now();
     options.members.onChange(() => this.updateBounds());
   }
 
@@ -102,6 +107,9 @@
    */
   isInTouch(id: string): boolean {
     const limit = this.options.clock.now() - this.trustMs;
+    if (this.hasPaused()) {
+      return false;
+    }
     if (id !== this.options.members.self.id) {
       return (this.contacts.get(id)?.answeredSentMs ?? -Infinity) >= limit;
     }
@@ -165,8 +173,26 @@
     }
   }
 
+  /** Whether this process did not run for so long that others gave it up. */
+  private hasPaused(): boolean {
+    return this.options.clock.now() - this.lastTickMs > PAUSE_MS;
+  }
+
+  /** Answers to probes from before a pause say nothing of the time after. */
+  private forgetAnswers(): void {
+    this.heardFromAnyMs = -Infinity;
+    this.contacts.forEach(contact => {
+      contact.answeredSentMs = -Infinity;
+      contact.pendingSequence = 0;
+    });
+  }
+
   private tick(): void {
     const {clock} = this.options;
+    if (this.hasPaused()) {
+      this.forgetAnswers();
+    }
+    this.lastTickMs = clock.now();
     this.timer = clock.callAt(clock.now() + PROBE_INTERVAL_MS, () =>
       this.tick(),
     );
@@ -443,10 +469,14 @@
     if (probe.sequence >= contact.pendingSequence) {
       contact.pendingSequence = 0;
       contact.answeredSentMs = contact.pendingSentMs;
+      const isFirst = this.heardFromAnyMs === -Infinity;
       this.heardFromAnyMs = Math.max(
         this.heardFromAnyMs,
         contact.pendingSentMs,
       );
+      if (isFirst) {
+        this.options.hooks.onBackInTouch();
+      }
     }
   }
 
--- a/src/membership/timing.ts
+++ b/src/membership/timing.ts
@@ -18,6 +18,13 @@
  */
 export const TRUST_MS = 1_250;
 
+/**
+ * Time without a run of the probe task after which a daemon takes itself to
+ * have been paused. It is shorter than the time in which peers go on trusting
+ * a daemon that stopped right after it answered.
+ */
+export const PAUSE_MS = 700;
+
 /**
  * Time of silence after which a peer's confirmation is no longer waited for.
  * It is counted from a later event than `TRUST_MS` and is longer, so a silent
--- a/src/ports/peers.ts
+++ b/src/ports/peers.ts
@@ -36,8 +36,15 @@
   onPassed(sender: string, passed: PassedPacket): void;
   onHint(sender: string, hint: Hint): void;
   onProbe(sender: string, probe: Probe, replyAddress: string): void;
-  /** Takes exceptions from a peer; returns how many were taken. */
-  onExceptions(sender: string, exceptions: readonly FlowException[]): number;
+  /**
+   * Takes exceptions from a peer, or hands them on when there is a target;
+   * returns how many were taken.
+   */
+  onExceptions(
+    sender: string,
+    exceptions: readonly FlowException[],
+    target: string,
+  ): number;
   /** Exceptions that this daemon holds for the partitions, in batches. */
   onPullState(
     sender: string,
@@ -58,11 +65,15 @@
   abstract pass(address: string, passed: PassedPacket): void;
   abstract hint(address: string, hint: Hint): void;
   abstract probe(address: string, probe: Probe): void;
-  /** Hands exceptions to a peer and waits for its confirmation. */
+  /**
+   * Hands exceptions to a peer and waits for its confirmation. With a target
+   * the peer hands them on to that member.
+   */
   abstract pushExceptions(
     address: string,
     exceptions: FlowException[],
     deadline: number,
+    target?: string,
   ): ResultAsync<number, PeerUnavailable>;
   /** Fetches a peer's exceptions of the partitions. */
   abstract pullState(
--- a/src/recovery/flow-coordinator.spec.ts
+++ b/src/recovery/flow-coordinator.spec.ts
@@ -206,7 +206,7 @@
     if (packet.kind === PacketKind.OPEN && flow.server === undefined) {
       flow.server = server;
       flow.openedMs = this.fleet.clock.now();
-      this.checkDrain(server);
+      this.checkDrain(server, packet.sourcePort);
       return;
     }
     if (reset || flow.server !== server) {
@@ -217,10 +217,10 @@
     }
   }
 
-  private checkDrain(server: string): void {
+  private checkDrain(server: string, port: number): void {
     const drained = this.drainedAt.get(server);
     if (drained !== undefined && this.fleet.clock.now() - drained > 3_000) {
-      this.problems.push(`new flow at ${server}, drained long before`);
+      this.problems.push(`flow ${port} is new at ${server}, drained long before`);
     }
   }
 
--- a/src/recovery/flow-coordinator.ts
+++ b/src/recovery/flow-coordinator.ts
@@ -39,6 +39,7 @@
   type Forward,
   type Pass,
 } from '../routing/decision.js';
+import {partitionOf} from '../routing/flow-key.js';
 import {Ownership} from '../routing/ownership.js';
 import {
   Router,
@@ -134,6 +135,7 @@
           this.knowledge.activateConfirmed(this.detector.peersInContact()),
         onStranger: (id, address) => void this.meet(id, address),
         onDeclaredDead: () => void this.rejoin(),
+        onBackInTouch: () => this.askBackups(),
         loadToPublish: () => this.router.ledger.publish(),
         onLoad: load => this.router.ledger.receive(load),
       },
@@ -142,6 +144,7 @@
       peers,
       clock,
       addressOf: id => this.addressOf(id),
+      relayFor: id => this.relayFor(id),
     });
     this.ownership = Ownership.create([], hasher);
     this.members.onChange((member, before) => this.onMember(member, before));
@@ -170,8 +173,10 @@
       onHint: (_sender, hint) => this.router.onHint(hint),
       onProbe: (sender, probe, address) =>
         this.detector.onProbe(sender, probe, address),
-      onExceptions: (_sender, exceptions) =>
-        this.router.applyExceptions(exceptions),
+      onExceptions: (sender, exceptions, target) =>
+        target === '' || target === this.members.self.id
+          ? this.takeExceptions(sender, exceptions)
+          : this.handOn(target, exceptions),
       onPullState: (_sender, partitions) =>
         inBatches(this.router.exceptionsOf(new Set(partitions))),
       onPullChanges: (_sender, epoch, after) => this.log.since(epoch, after),
@@ -349,6 +354,42 @@
     }
   }
 
+  /** The backups may have decided while this daemon did not run. */
+  private askBackups(): void {
+    const self = this.members.self.id;
+    const deadline = this.options.clock.now() + PREDECESSOR_MS;
+    this.ownership
+      .partitionsHeldBy(self)
+      .filter(partition => this.ownership.ownerOf(partition) === self)
+      .forEach(partition => {
+        const backup = this.ownership.backupOf(partition);
+        if (backup !== undefined) {
+          this.router.usePredecessors(partition, [backup], deadline);
+        }
+      });
+  }
+
+  /**
+   * Takes entries. Those of a daemon that does not hold the partition go to
+   * the other holder too, which the sender may not reach.
+   */
+  private takeExceptions(
+    sender: string,
+    exceptions: readonly FlowException[],
+  ): number {
+    const self = this.members.self.id;
+    exceptions.forEach(exception => {
+      const {keyHigh: high, keyLow: low} = exception;
+      const holders = this.ownership.holdersOf(partitionOf({high, low}));
+      if (holders.includes(self) && !holders.includes(sender)) {
+        holders
+          .filter(holder => holder !== self)
+          .forEach(holder => this.replicator.send(holder, [exception]));
+      }
+    });
+    return this.router.applyExceptions(exceptions);
+  }
+
   /** Moves state after a change of the owners. */
   private changeOwnership(): void {
     const {clock, timeline} = this.options;
@@ -454,6 +495,25 @@
     return member !== undefined && handlesPackets(member);
   }
 
+  private handOn(
+    target: string,
+    exceptions: readonly FlowException[],
+  ): number {
+    this.replicator.send(target, exceptions);
+    return exceptions.length;
+  }
+
+  private relayFor(id: string): string | undefined {
+    return this.members
+      .others()
+      .find(
+        other =>
+          other.id !== id &&
+          handlesPackets(other) &&
+          this.detector.isInTouch(other.id),
+      )?.address;
+  }
+
   private addressOf(id: string): string | undefined {
     return this.runs(id) ? this.members.get(id)?.address : undefined;
   }
--- a/src/recovery/replicator.ts
+++ b/src/recovery/replicator.ts
@@ -32,6 +32,8 @@
   readonly clock: Clock;
   /** The address of a live member; undefined when it is gone. */
   readonly addressOf: PeerAddressLookup;
+  /** The address of another member that may reach this one. */
+  readonly relayFor: PeerAddressLookup;
 }
 
 /** Sends entries to peers until each has confirmed them or is gone. */
@@ -101,7 +103,7 @@
         queue.entries = [];
         break;
       }
-      await this.sendBatch(address, queue);
+      await this.sendBatch(member, address, queue);
     }
     queue.running = false;
     if (this.waiting === 0) {
@@ -110,17 +112,18 @@
     }
   }
 
-  private async sendBatch(address: string, queue: PeerQueue): Promise<void> {
+  private async sendBatch(
+    member: string,
+    address: string,
+    queue: PeerQueue,
+  ): Promise<void> {
     const batch = queue.entries.splice(0, BATCH_ENTRIES);
     queue.inFlight = batch.length;
-    const deadline = this.options.clock.now() + CONFIRM_MS;
-    const result = await this.options.peers.pushExceptions(
-      address,
-      batch,
-      deadline,
-    );
+    const sent =
+      (await this.push(address, batch)) ||
+      (await this.pushThroughRelay(member, batch));
     queue.inFlight = 0;
-    if (result.isOk()) {
+    if (sent) {
       this.sent += batch.length;
     } else {
       // Taking entries twice does no harm, so the whole batch is sent again.
@@ -128,6 +131,31 @@
     }
   }
 
+  /** A cut between two daemons alone must not keep entries from either. */
+  private async pushThroughRelay(
+    member: string,
+    batch: FlowException[],
+  ): Promise<boolean> {
+    const relay = this.options.relayFor(member);
+    return relay !== undefined && this.push(relay, batch, member);
+  }
+
+  private async push(
+    address: string,
+    batch: FlowException[],
+    target?: string,
+  ): Promise<boolean> {
+    const {clock, peers} = this.options;
+    const deadline = clock.now() + CONFIRM_MS;
+    const pushed = await peers.pushExceptions(
+      address,
+      batch,
+      deadline,
+      target,
+    );
+    return pushed.isOk();
+  }
+
   private pause(): Promise<void> {
     const {clock} = this.options;
     return new Promise(resolve => {
--- a/src/routing/candidates.ts
+++ b/src/routing/candidates.ts
@@ -29,6 +29,7 @@
       server: active.numbers[index],
       weight: server.weight * warmShare(table, active, server.id, context),
       flows: context.ledger.estimate(server.id, context.members),
+      ownFlows: context.ledger.ownCount(server.id),
     }))
     .filter(({id}) => context.marks.isEligible(id))
     .filter(({flows}) => flows < connectionLimit);
--- a/src/routing/decision.ts
+++ b/src/routing/decision.ts
@@ -15,6 +15,8 @@
   ADDRESS_NOT_IN_FORCE: 'address-not-in-force',
   NO_SERVER: 'no-server',
   FLOW_TABLE_FULL: 'flow-table-full',
+  /** A new flow at a daemon that no peer answers. */
+  OUT_OF_TOUCH: 'out-of-touch',
 } as const;
 /** One of the reasons in `DropReason`. */
 export type DropReason = (typeof DropReason)[keyof typeof DropReason];
--- a/src/routing/load-ledger.ts
+++ b/src/routing/load-ledger.ts
@@ -58,6 +58,11 @@
     return (this.sums.get(hash) ?? 0) + unpublished * (members - 1);
   }
 
+  /** Opens less closes that this daemon handled. */
+  ownCount(server: string): number {
+    return this.own.get(this.hashOf(server)) ?? 0;
+  }
+
   /** The vector to publish now. */
   publish(): LoadVector {
     this.version += 1;
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -6,8 +6,10 @@
   readonly server: number;
   /** Relative share at this moment; a cold server's grows. */
   readonly weight: number;
-  /** Estimated open flows. */
+  /** Estimated open flows, over all daemons. */
   readonly flows: number;
+  /** Open flows by this daemon's own counts alone. */
+  readonly ownFlows: number;
 }
 
 /** Flows above the lightest server at which the table's choice still stands. */
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -227,6 +227,9 @@
     if (!this.isTracked(table, key) && this.view.isInTouch(owner)) {
       return this.forwardToBase(table, key, packet);
     }
+    if (this.mayHaveWaited(packet)) {
+      return {kind: DecisionKind.DROP, reason: DropReason.OUT_OF_TOUCH};
+    }
     return (
       this.forwardKnown(table, key, packet, arrival) ??
       this.passOn(key, owner, arrival) ??
@@ -297,6 +300,17 @@
     );
   }
 
+  /**
+   * An open that waited while this daemon was paused may repeat one that was
+   * placed long ago by other tables. Its caller sends it again.
+   */
+  private mayHaveWaited(packet: Packet): boolean {
+    return (
+      packet.kind === PacketKind.OPEN &&
+      !this.view.isInTouch(this.options.self)
+    );
+  }
+
   private isTracked(table: AddressTable, key: FlowKey): boolean {
     return this.options.scope === StateScope.ALL || table.isTracked(key);
   }
@@ -321,17 +335,30 @@
     packet: Packet,
     arrival: Arrival,
   ): Forward | undefined {
-    if (packet.kind !== PacketKind.DATA) {
-      return undefined;
-    }
     const place = this.flows.find(key);
     if (place < 0) {
       return undefined;
     }
+    const usable =
+      packet.kind === PacketKind.DATA ||
+      (packet.kind === PacketKind.OPEN && this.isRepeatedOpen(key, place));
+    if (!usable) {
+      return undefined;
+    }
     this.refresh(place, key, table.routed.idleLimitSeconds);
     return this.forward(key, this.flows.serverAt(place), arrival);
   }
 
+  /** Whether an open is one that a holder of the partition has placed. */
+  private isRepeatedOpen(key: FlowKey, place: number): boolean {
+    const kind = this.flows.kindAt(place);
+    const holders = this.view.ownership.holdersOf(partitionOf(key));
+    return (
+      kind === EntryKind.RECENT ||
+      (kind === EntryKind.HELD && holders.includes(this.options.self))
+    );
+  }
+
   /**
    * Moves the deadline of an entry that is past half its idle limit, here and
    * at the other holders.
--- a/standins/memory-network.ts
+++ b/standins/memory-network.ts
@@ -187,9 +187,10 @@
     address: string,
     exceptions: FlowException[],
     deadline: number,
+    target = '',
   ): ResultAsync<number, PeerUnavailable> {
     return this.call(address, deadline, handlers =>
-      handlers.onExceptions(this.id, exceptions),
+      handlers.onExceptions(this.id, exceptions, target),
     );
   }
 
--- a/standins/request-callers.ts
+++ b/standins/request-callers.ts
@@ -78,8 +78,8 @@
 
   private constructor(
     private readonly list: GrpcInstanceList,
-    /** Request entry by the daemon's peer address. */
-    private readonly entries: Readonly<Record<string, string>>,
+    /** Request addresses by daemon id. */
+    private entries: Readonly<Record<string, string>>,
     private readonly name: string,
     seed: number,
   ) {
@@ -107,6 +107,8 @@
       const name = `${order.workspace}/${order.service}/${this.tallies.size}`;
       this.tallies.set(name, createTally(order));
     }
+    const entries = settings['entries'] as Record<string, string> | undefined;
+    this.entries = {...this.entries, ...entries};
     const reports = [...this.tallies.values()].map(reportOf);
     return {
       reports,
