--- a/bench/experiments/forwarding.ts
+++ b/bench/experiments/forwarding.ts
@@ -1,1 +1,5 @@
-export const forwarding = {name:'forwarding',summary:'',run:async()=>({figures:{},broken:[]})};
+export const forwarding = {
+  name: 'forwarding',
+  summary: '',
+  run: async () => ({figures: {}, broken: []}),
+};
--- a/bench/experiments/membership.ts
+++ b/bench/experiments/membership.ts
@@ -1,1 +1,5 @@
-export const membership = {name:'membership',summary:'',run:async()=>({figures:{},broken:[]})};
+export const membership = {
+  name: 'membership',
+  summary: '',
+  run: async () => ({figures: {}, broken: []}),
+};
--- a/bench/experiments/replication.ts
+++ b/bench/experiments/replication.ts
@@ -1,1 +1,5 @@
-export const replication = {name:'replication',summary:'',run:async()=>({figures:{},broken:[]})};
+export const replication = {
+  name: 'replication',
+  summary: '',
+  run: async () => ({figures: {}, broken: []}),
+};
--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -40,6 +40,9 @@
   answeredSentMs: number;
   /** Arrival of the newest datagram of the peer. */
   heardMs: number;
+  /** The peer's log as its newest datagram told. */
+  logEpoch: number;
+  logTop: number;
   misses: number;
   /** When a suspected peer is declared dead. */
   suspicionDeadline: number;
@@ -102,18 +105,31 @@
   }
 
   /**
-   * Whether the member's knowledge is surely included in this daemon's. For
-   * the daemon itself: whether any peer answered of late, or there is none.
+   * Whether the member's knowledge is surely included in this daemon's: it is
+   * in touch, and nothing of its log is still to be staged here.
+   */
+  isCurrent(id: string): boolean {
+    if (!this.isInTouch(id) || id === this.options.members.self.id) {
+      return this.isInTouch(id);
+    }
+    const contact = this.contactOf(id);
+    const {logEpoch, logTop} = contact;
+    return !this.options.log.isBehind(id, logEpoch, logTop);
+  }
+
+  /**
+   * Whether the member answered of late; for the daemon itself, whether any
+   * peer did, or there is none.
    */
   isInTouch(id: string): boolean {
     const limit = this.options.clock.now() - this.trustMs;
     if (this.hasPaused()) {
       return false;
     }
-    if (id !== this.options.members.self.id) {
-      return (this.contacts.get(id)?.answeredSentMs ?? -Infinity) >= limit;
+    if (id === this.options.members.self.id) {
+      return this.heardFromAnyMs >= limit || this.alone;
     }
-    return this.heardFromAnyMs >= limit || this.alone;
+    return (this.contacts.get(id)?.answeredSentMs ?? -Infinity) >= limit;
   }
 
   /** Members whose confirmation is to be waited for. */
@@ -333,10 +349,10 @@
       contact.pendingSequence = this.sequence;
       contact.pendingSentMs = this.options.clock.now();
     }
-    this.options.peers.probe(
-      peer.address,
-      this.message(peer.id, this.sequence, false),
-    );
+    this.options.peers.probe(peer.address, {
+      ...this.message(peer.id, this.sequence, false),
+      outOfTouch: counted && !this.isInTouch(peer.id),
+    });
   }
 
   private answer(peer: Member, probe: Probe, address: string): void {
@@ -381,6 +397,7 @@
       relayTo: '',
       relayFrom: '',
       subject: '',
+      outOfTouch: false,
     };
   }
 
@@ -437,6 +454,8 @@
     const {clock, hooks, log, members} = this.options;
     const contact = this.contactOf(known.id);
     contact.heardMs = clock.now();
+    contact.logEpoch = probe.logEpoch;
+    contact.logTop = probe.logTop;
     const {state, incarnation} = memberOf({
       ...known,
       state: probe.state,
@@ -447,6 +466,10 @@
       hooks.onLoad(probe.load);
     }
     log.markConfirmed(known.id, probe.seenEpoch, probe.seenTop);
+    if (probe.outOfTouch) {
+      // It trusts nothing of this daemon until an answer tells it of the log.
+      log.markConfirmed(known.id, log.epoch, log.top);
+    }
     hooks.onConfirmed();
     if (!log.isBehind(known.id, probe.logEpoch, probe.logTop)) {
       return;
@@ -490,6 +513,8 @@
       pendingSentMs: 0,
       answeredSentMs: -Infinity,
       heardMs: this.options.clock.now(),
+      logEpoch: 0,
+      logTop: 0,
       misses: 0,
       suspicionDeadline: 0,
     };
--- a/src/membership/knowledge.ts
+++ b/src/membership/knowledge.ts
@@ -8,6 +8,7 @@
 import type {RoutingRevision} from '../routing/routed-address.js';
 import {ServerMarks} from '../routing/server-marks.js';
 import type {ChangeLog} from './change-log.js';
+import {ACTIVATION_HOLD_MS} from './timing.js';
 
 /** Snapshots that wait for confirmation; the oldest are merged away. */
 const MAXIMUM_WAITING = 32;
@@ -17,6 +18,8 @@
   readonly index: number;
   readonly revision: number;
   readonly marks: ServerMarks;
+  /** When it may become active, once every peer has staged it; monotonic. */
+  activeFromMs: number | undefined;
 }
 
 /** Told of what becomes staged and active. */
@@ -84,15 +87,23 @@
         index: this.log.top,
         revision: this.revision.revision,
         marks: this.marks.copy(),
+        activeFromMs: undefined,
       },
     ].slice(-MAXIMUM_WAITING);
     return true;
   }
 
-  /** Activates what all the peers have staged. */
-  activateConfirmed(peers: readonly string[]): void {
+  /** Activates what all the peers have staged for a while. */
+  activateConfirmed(peers: readonly string[], nowMs: number): void {
     const confirmed = this.log.confirmedBy(peers);
-    const ripe = this.waiting.filter(({index}) => index <= confirmed);
+    this.waiting
+      .filter(({index}) => index <= confirmed)
+      .forEach(snapshot => {
+        snapshot.activeFromMs ??= nowMs + ACTIVATION_HOLD_MS;
+      });
+    const ripe = this.waiting.filter(
+      ({activeFromMs}) => activeFromMs !== undefined && activeFromMs <= nowMs,
+    );
     const newest = ripe[ripe.length - 1];
     if (newest === undefined || newest.index <= this.activeIndex) {
       return;
--- a/src/membership/timing.ts
+++ b/src/membership/timing.ts
@@ -43,3 +43,9 @@
 
 /** Datagrams that carry one piece of member news to each peer. */
 export const NEWS_REPEATS = 4;
+
+/**
+ * Time between the last peer's confirmation of a change and its use. A repeated
+ * open that is this late may be placed twice.
+ */
+export const ACTIVATION_HOLD_MS = 300;
--- a/src/recovery/flow-coordinator.spec.ts
+++ b/src/recovery/flow-coordinator.spec.ts
@@ -5,7 +5,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {MemoryFleet, packetOf, type FleetDaemon} from '../../standins/memory-fleet.js';
+import {
+  MemoryFleet,
+  packetOf,
+  type FleetDaemon,
+} from '../../standins/memory-fleet.js';
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
 import {PacketKind, type Packet} from '../generated/packet.js';
 import type {
@@ -19,7 +23,12 @@
 const DOMAINS = ['hall-a', 'hall-b', 'hall-c'];
 const PAY = {address: 0x0a140001, port: 443, service: 'parkwise/meterpay'};
 const DOCS = {address: 0x0a140002, port: 443, service: 'parkwise/docs'};
-const PAY_SERVERS = ['10.1.0.1:80', '10.1.0.2:80', '10.1.0.3:80', '10.1.0.4:80'];
+const PAY_SERVERS = [
+  '10.1.0.1:80',
+  '10.1.0.2:80',
+  '10.1.0.3:80',
+  '10.1.0.4:80',
+];
 const DOCS_SERVERS = ['10.2.0.1:80', '10.2.0.2:80', '10.2.0.3:80'];
 const SERVICES = new Map([
   ...PAY_SERVERS.map(id => [id, PAY.service] as const),
@@ -220,7 +229,9 @@
   private checkDrain(server: string, port: number): void {
     const drained = this.drainedAt.get(server);
     if (drained !== undefined && this.fleet.clock.now() - drained > 3_000) {
-      this.problems.push(`flow ${port} is new at ${server}, drained long before`);
+      this.problems.push(
+        `flow ${port} is new at ${server}, drained long before`,
+      );
     }
   }
 
@@ -283,12 +294,18 @@
       ({frozen, coordinator}) => !frozen && coordinator.isReady,
     );
     const cut = this.fleet.network.cut.size > 0;
-    if (ready.length < 4 || !alone || cut || now - this.lastLossMs < LOSS_GAP_MS) {
+    if (
+      ready.length < 4 ||
+      !alone ||
+      cut ||
+      now - this.lastLossMs < LOSS_GAP_MS
+    ) {
       return;
     }
     this.lastLossMs = now;
     this.flows.forEach(flow => {
-      flow.exempt ||= flow.server === undefined || now - flow.openedMs < YOUNG_MS;
+      flow.exempt ||=
+        flow.server === undefined || now - flow.openedMs < YOUNG_MS;
     });
     act(ready[pick % ready.length]);
   }
--- a/src/recovery/flow-coordinator.ts
+++ b/src/recovery/flow-coordinator.ts
@@ -131,8 +131,7 @@
       clock,
       hooks: {
         onBehind: (peer, epoch, top) => void this.pullChanges(peer, epoch, top),
-        onConfirmed: () =>
-          this.knowledge.activateConfirmed(this.detector.peersInContact()),
+        onConfirmed: () => this.activate(),
         onStranger: (id, address) => void this.meet(id, address),
         onDeclaredDead: () => void this.rejoin(),
         onBackInTouch: () => this.askBackups(),
@@ -191,7 +190,10 @@
       this.detector.start(),
       repeat(clock, SWEEP_INTERVAL_MS, () => this.sweep()),
       repeat(clock, REBUILD_INTERVAL_MS, () => this.router.rebuild()),
-      repeat(clock, FLUSH_INTERVAL_MS, () => this.flush()),
+      repeat(clock, FLUSH_INTERVAL_MS, () => {
+        this.flush();
+        this.activate();
+      }),
     );
   }
 
@@ -217,7 +219,7 @@
         revision: this.knowledge.staged.revision,
       });
       this.detector.announce();
-      this.knowledge.activateConfirmed(this.detector.peersInContact());
+      this.activate();
     }
   }
 
@@ -253,6 +255,11 @@
     this.cleanups.forEach(cleanup => cleanup());
   }
 
+  private activate(): void {
+    const now = this.options.clock.now();
+    this.knowledge.activateConfirmed(this.detector.peersInContact(), now);
+  }
+
   private sweep(): void {
     const now = this.options.clock.now();
     this.recent = this.recent.filter(({deadline}) => deadline > now);
@@ -425,6 +432,7 @@
     this.router.useView({
       ownership: this.ownership,
       members: Math.max(1, owners.length),
+      isCurrent: id => this.detector.isCurrent(id),
       isInTouch: id => this.detector.isInTouch(id),
       relays: owners
         .map(({id}) => id)
@@ -495,10 +503,7 @@
     return member !== undefined && handlesPackets(member);
   }
 
-  private handOn(
-    target: string,
-    exceptions: readonly FlowException[],
-  ): number {
+  private handOn(target: string, exceptions: readonly FlowException[]): number {
     this.replicator.send(target, exceptions);
     return exceptions.length;
   }
@@ -618,8 +623,7 @@
     return this.members
       .owners()
       .every(
-        ({id}) =>
-          id === this.members.self.id || this.detector.isInTouch(id),
+        ({id}) => id === this.members.self.id || this.detector.isInTouch(id),
       );
   }
 
--- a/src/recovery/handover.ts
+++ b/src/recovery/handover.ts
@@ -93,10 +93,7 @@
  * Another daemon that joined a moment ago may have owned the partition by the
  * views of some, unknown to this daemon until now; so it is asked as well.
  */
-function planAdoption(
-  partition: number,
-  context: HandoverContext,
-): Adoption[] {
+function planAdoption(partition: number, context: HandoverContext): Adoption[] {
   const {self, before, after, withoutSelf} = context;
   const earlier = before.holdersOf(partition);
   const rivals = withoutSelf.holdersOf(partition);
--- a/src/recovery/replicator.ts
+++ b/src/recovery/replicator.ts
@@ -147,12 +147,7 @@
   ): Promise<boolean> {
     const {clock, peers} = this.options;
     const deadline = clock.now() + CONFIRM_MS;
-    const pushed = await peers.pushExceptions(
-      address,
-      batch,
-      deadline,
-      target,
-    );
+    const pushed = await peers.pushExceptions(address, batch, deadline, target);
     return pushed.isOk();
   }
 
--- a/src/routing/address-table.ts
+++ b/src/routing/address-table.ts
@@ -124,13 +124,6 @@
     return this.generations[this.generations.length - 1];
   }
 
-  /** The newest generation that is not newer than a revision. */
-  generationAt(revision: number): GenerationTable | undefined {
-    return [...this.generations]
-      .reverse()
-      .find(({generation}) => generation.since <= revision);
-  }
-
   /** Directory number of the server of flows without an entry. */
   baseServer(key: FlowKey): number {
     return serverIn(this.generations[0], key);
--- a/src/routing/routed-address.ts
+++ b/src/routing/routed-address.ts
@@ -38,7 +38,7 @@
   readonly idleLimitSeconds: number;
   /** Milliseconds that the longest flow lasts. */
   readonly flowLifetimeMs: number;
-  /** At least one; the last is the newest. */
+  /** The last is the newest. */
   readonly generations: readonly AddressGeneration[];
 }
 
@@ -64,3 +64,12 @@
     generation.endedAtMs + routed.flowLifetimeMs > wallMs
   );
 }
+
+/** The address as it was at a revision; generations may be none. */
+export function upToRevision(
+  routed: RoutedAddress,
+  revision: number,
+): RoutedAddress {
+  const generations = routed.generations.filter(({since}) => since <= revision);
+  return {...routed, generations};
+}
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -28,7 +28,11 @@
 import {LoadLedger} from './load-ledger.js';
 import {Ownership} from './ownership.js';
 import {LightestPlacement, type Placement} from './placement.js';
-import type {RoutingRevision} from './routed-address.js';
+import {
+  upToRevision,
+  type RoutedAddress,
+  type RoutingRevision,
+} from './routed-address.js';
 import {ServerDirectory} from './server-directory.js';
 import {ServerMarks} from './server-marks.js';
 
@@ -63,9 +67,11 @@
   readonly ownership: Ownership;
   /** Members that open flows. */
   readonly members: number;
+  /** Whether this daemon surely knows all that the member places flows by. */
+  isCurrent(member: string): boolean;
   /**
-   * Whether this daemon surely knows all that the member places flows by; for
-   * the daemon itself, whether it was heard by any peer of late.
+   * Whether the member answered of late; for the daemon itself, whether any
+   * peer did.
    */
   isInTouch(member: string): boolean;
   /** Other members, which may reach a member that this one does not. */
@@ -110,6 +116,8 @@
   /** Earlier holders by partition, the latest first. */
   private readonly predecessors = new Map<number, Predecessor[]>();
   private tables = new Map<number, AddressTable>();
+  /** Tables of what is active, which flows are opened by. */
+  private activeTables = new Map<number, AddressTable>();
   private stagedMarks = ServerMarks.create();
   private activeMarks = ServerMarks.create();
   private revision: RoutingRevision = {revision: 0, addresses: []};
@@ -127,6 +135,7 @@
     this.view = {
       ownership: Ownership.create(alone, options.hasher),
       members: 1,
+      isCurrent: () => true,
       isInTouch: () => true,
       relays: [],
     };
@@ -166,21 +175,18 @@
   activate(revision: number, marks: ServerMarks): void {
     this.activeRevision = revision;
     this.activeMarks = marks.copy();
+    this.rebuild();
   }
 
   /** Rebuilds the tables, so that generations past their lifetime go. */
   rebuild(): void {
-    const wall = this.options.clock.wall();
-    const tables = this.revision.addresses.map(routed =>
-      AddressTable.create(routed, this.builder, this.stagedMarks, wall),
-    );
-    this.builder.retain(tables.flatMap(table => table.generations));
-    this.tables = new Map(
-      tables.map(table => [
-        destinationKey(table.routed.address, table.routed.port),
-        table,
-      ]),
+    this.tables = this.buildTables(this.revision.addresses, this.stagedMarks);
+    const active = this.revision.addresses.map(routed =>
+      upToRevision(routed, this.activeRevision),
     );
+    this.activeTables = this.buildTables(active, this.activeMarks);
+    const inUse = [...this.tables.values(), ...this.activeTables.values()];
+    this.builder.retain(inUse.flatMap(table => table.generations));
   }
 
   /** Takes a new view of the members. */
@@ -224,7 +230,7 @@
     const key = this.keys.of(packet);
     const owner =
       this.view.ownership.ownerOf(partitionOf(key)) ?? this.options.self;
-    if (!this.isTracked(table, key) && this.view.isInTouch(owner)) {
+    if (!this.isTracked(table, key) && this.view.isCurrent(owner)) {
       return this.forwardToBase(table, key, packet);
     }
     if (this.mayHaveWaited(packet)) {
@@ -306,8 +312,20 @@
    */
   private mayHaveWaited(packet: Packet): boolean {
     return (
-      packet.kind === PacketKind.OPEN &&
-      !this.view.isInTouch(this.options.self)
+      packet.kind === PacketKind.OPEN && !this.view.isInTouch(this.options.self)
+    );
+  }
+
+  private buildTables(
+    addresses: readonly RoutedAddress[],
+    marks: ServerMarks,
+  ): Map<number, AddressTable> {
+    const wall = this.options.clock.wall();
+    return new Map(
+      addresses.map(routed => [
+        destinationKey(routed.address, routed.port),
+        AddressTable.create(routed, this.builder, marks, wall),
+      ]),
     );
   }
 
@@ -460,8 +478,10 @@
     arrival: Arrival,
   ): Decision {
     if (!this.isTracked(table, key)) {
-      // An entry would be found by nobody: the others ask no one for this key.
-      return this.forwardToBase(table, key, packet);
+      // An exception would be found by nobody: the others ask no one for it.
+      return packet.kind === PacketKind.OPEN
+        ? this.openAt(table, key, table.baseServer(key), arrival)
+        : this.forwardToBase(table, key, packet);
     }
     const place = this.flows.find(key);
     const kind = place < 0 ? EntryKind.EMPTY : this.flows.kindAt(place);
@@ -484,11 +504,28 @@
 
   /** Places a new flow of a tracked key. */
   private open(table: AddressTable, key: FlowKey, arrival: Arrival): Decision {
-    const generation = table.generationAt(this.activeRevision);
-    if (generation === undefined || generation.numbers.length === 0) {
+    const {address, port} = table.routed;
+    const active = this.activeTables.get(destinationKey(address, port));
+    if (active === undefined || active.generations.length === 0) {
       return {kind: DecisionKind.DROP, reason: DropReason.ADDRESS_NOT_IN_FORCE};
     }
-    const candidates = candidatesOf(table, generation, {
+    if (!this.isTracked(active, key)) {
+      // A peer may not know yet that the key is tracked and ask nobody.
+      return this.openAt(table, key, active.baseServer(key), arrival);
+    }
+    return this.openByLoad(table, active, key, arrival);
+  }
+
+  private openByLoad(
+    table: AddressTable,
+    active: AddressTable,
+    key: FlowKey,
+    arrival: Arrival,
+  ): Decision {
+    if (active.newest.numbers.length === 0) {
+      return {kind: DecisionKind.DROP, reason: DropReason.ADDRESS_NOT_IN_FORCE};
+    }
+    const candidates = candidatesOf(active, active.newest, {
       marks: this.activeMarks,
       ledger: this.ledger,
       members: this.view.members,
@@ -497,10 +534,22 @@
     if (candidates.length === 0) {
       return {kind: DecisionKind.DROP, reason: DropReason.NO_SERVER};
     }
-    const preferred = serverIn(generation, key);
+    const preferred = serverIn(active.newest, key);
     const chosen = this.placement.choose(candidates, preferred);
-    return this.remember(table, key, chosen)
-      ? this.forwardOpen(key, chosen, arrival)
+    return this.openAt(table, key, chosen, arrival);
+  }
+
+  private openAt(
+    table: AddressTable,
+    key: FlowKey,
+    server: number,
+    arrival: Arrival,
+  ): Decision {
+    if (server === NO_SERVER) {
+      return {kind: DecisionKind.DROP, reason: DropReason.NO_SERVER};
+    }
+    return this.remember(table, key, server)
+      ? this.forwardOpen(key, server, arrival)
       : this.openWithoutEntry(table, key, arrival);
   }
 
--- a/standins/memory-fleet.ts
+++ b/standins/memory-fleet.ts
@@ -152,11 +152,9 @@
       return true;
     }
     let done: boolean | undefined;
-    void daemon.coordinator
-      .leave(this.clock.now() + 10_000)
-      .then(confirmed => {
-        done = confirmed;
-      });
+    void daemon.coordinator.leave(this.clock.now() + 10_000).then(confirmed => {
+      done = confirmed;
+    });
     while (done === undefined) {
       await this.clock.advance(100);
     }
--- a/standins/memory-network.ts
+++ b/standins/memory-network.ts
@@ -113,10 +113,7 @@
         });
       });
     });
-    return ResultAsync.fromPromise(
-      promise,
-      error => error as PeerUnavailable,
-    );
+    return ResultAsync.fromPromise(promise, error => error as PeerUnavailable);
   }
 
   private deliver(
