--- a/bench/cluster.ts
+++ b/bench/cluster.ts
@@ -49,6 +49,8 @@
   readonly requestPolicy?: 'weldyard' | 'naive';
   readonly flexibleShare?: number;
   readonly warmUp?: string;
+  /** Names servers in the configuration but starts none. */
+  readonly withoutBackends?: boolean;
 }
 
 /** A daemon of the cluster. */
@@ -388,6 +390,9 @@
       servers.forEach(address =>
         this.backends.set(address, {address, service: name}),
       );
+      if (this.options.withoutBackends === true) {
+        return;
+      }
       domains.forEach((domain, index) => {
         const own = servers.filter(
           (_, position) => position % domains.length === index,
@@ -397,9 +402,9 @@
         }
       });
     });
-    await Promise.all(
-      [...this.backends.keys()].map(id => answers(this.knobsOf(id))),
-    );
+    const started =
+      this.options.withoutBackends === true ? [] : [...this.backends.keys()];
+    await Promise.all(started.map(id => answers(this.knobsOf(id))));
   }
 
   private startBackendProcess(
@@ -563,7 +568,8 @@
     ).domain;
   }
 
-  private takeAddress(): string {
+  /** An address that nothing else here uses. */
+  takeAddress(): string {
     this.nextPort += 1;
     return `${HOST}:${this.nextPort - 1}`;
   }
--- a/bench/experiments/membership.ts
+++ b/bench/experiments/membership.ts
@@ -1,5 +1,154 @@
-export const membership = {
+/** Cost and speed of membership by number of daemons. */
+import {XxhashHasher} from '../../src/adapters/xxhash-hasher.js';
+import {MemberState} from '../../src/membership/member.js';
+import {MemoryFleet} from '../../standins/memory-fleet.js';
+import {Cluster, pause} from '../cluster.js';
+import {fitLine, round} from '../measures.js';
+import {HANDHELD, PARKWISE_DOMAINS} from '../plans.js';
+import {usageOf} from '../process-usage.js';
+import {
+  brokenPromises,
+  type Experiment,
+  type ExperimentContext,
+} from './experiment.js';
+
+const SIZES = [8, 16, 32, 64];
+const MEASURE_MS = 6_000;
+const DETECT_LIMIT_MS = 15_000;
+const POLL_MS = 50;
+/** Bytes of UDP and IP headers a datagram. */
+const HEADER_BYTES = 28;
+const LIMIT_BYTES = 4_000;
+const LOSS = 0.1;
+const LOSS_MINUTES = 5;
+
+interface SizeFigures {
+  readonly daemons: number;
+  readonly bytesPerSecond: number;
+  readonly datagramsPerSecond: number;
+  readonly processorShare: number;
+  readonly healthProbesPerSecond: number;
+  readonly detectionMs: number;
+}
+
+/** Membership at several sizes, and false suspicions under loss. */
+export const membership: Experiment = {
   name: 'membership',
-  summary: '',
-  run: async () => ({figures: {}, broken: []}),
+  summary: 'bytes, processor share, detection time at 8 to 64 daemons',
+  run: async context => {
+    const sizes: SizeFigures[] = [];
+    await SIZES.reduce(async (earlier, daemons) => {
+      await earlier;
+      sizes.push(await runSize(context, daemons));
+    }, Promise.resolve());
+    const falseSuspicions = await countFalseSuspicions(context.seed);
+    const slope = fitLine(
+      sizes.map(({daemons, bytesPerSecond}) => [daemons, bytesPerSecond]),
+    );
+    const atEight = sizes[0].bytesPerSecond;
+    return {
+      figures: {
+        sizes,
+        bytesPerSecondSlope: round(slope.slope),
+        bytesPerSecondAt2900: Math.round(slope.intercept + slope.slope * 2_900),
+        falseSuspicions,
+      },
+      broken: brokenPromises([
+        [atEight <= LIMIT_BYTES, `${atEight} bytes/s a daemon at 8`],
+        [falseSuspicions.falseDeaths === 0, 'a live daemon was buried'],
+      ]),
+    };
+  },
 };
+
+async function runSize(
+  context: ExperimentContext,
+  daemons: number,
+): Promise<SizeFigures> {
+  const cluster = context.use(
+    await Cluster.create({
+      daemons,
+      domains: PARKWISE_DOMAINS,
+      services: [HANDHELD],
+      seed: context.seed,
+    }),
+  );
+  await pause(2_000);
+  const before = await snapshot(cluster);
+  await pause(MEASURE_MS);
+  const after = await snapshot(cluster);
+  const seconds = MEASURE_MS / 1_000;
+  const rate = (name: keyof typeof after) =>
+    (after[name] - before[name]) / seconds / daemons;
+  const datagrams = rate('datagrams');
+  const detectionMs = await measureDetection(cluster);
+  await cluster.close();
+  const figures = {
+    daemons,
+    bytesPerSecond: Math.round(rate('bytes') + datagrams * HEADER_BYTES),
+    datagramsPerSecond: round(datagrams),
+    processorShare: round(rate('cpu')),
+    healthProbesPerSecond: round(rate('probes')),
+    detectionMs,
+  };
+  context.say(JSON.stringify(figures));
+  return figures;
+}
+
+/** Sums over all daemons. */
+async function snapshot(cluster: Cluster) {
+  const statuses = await cluster.statuses();
+  const counters = statuses.map(
+    ({countersJson}) => JSON.parse(countersJson) as Record<string, number>,
+  );
+  const sum = (name: string) =>
+    counters.reduce((total, own) => total + (own[name] ?? 0), 0);
+  const cpu = [...cluster.daemons.keys()]
+    .map(id => cluster.processes.get(id)?.child.pid ?? 0)
+    .reduce((total, pid) => total + usageOf(pid).cpuSeconds, 0);
+  return {
+    bytes: sum('control.bytes_sent'),
+    datagrams: sum('control.datagrams_sent'),
+    probes: sum('health.probes'),
+    cpu,
+  };
+}
+
+/** Time from a kill until every other daemon has one owner fewer. */
+async function measureDetection(cluster: Cluster): Promise<number> {
+  const expected = cluster.daemons.size - 1;
+  const [victim] = [...cluster.daemons.keys()];
+  cluster.killDaemon(victim);
+  const startMs = Date.now();
+  const known = async () =>
+    (await cluster.statuses()).every(({members}) => members === expected);
+  while (!(await known()) && Date.now() - startMs < DETECT_LIMIT_MS) {
+    await pause(POLL_MS);
+  }
+  return Date.now() - startMs;
+}
+
+/** Eight coordinators under datagram loss, in virtual time. */
+async function countFalseSuspicions(seed: number) {
+  const hasher = await XxhashHasher.create();
+  const fleet = MemoryFleet.create({hasher, seed, services: new Map()});
+  fleet.revision = {revision: 1, addresses: []};
+  await Array.from({length: 8}).reduce(async (earlier, _, index) => {
+    await earlier;
+    await fleet.join(`hall-${index % 4}`);
+    await fleet.clock.advance(100);
+  }, Promise.resolve());
+  await fleet.clock.advance(5_000);
+  const counts = {suspicions: 0, falseDeaths: 0};
+  fleet.daemons.forEach(({coordinator}) =>
+    coordinator.members.onChange((member, known) => {
+      const turned = member.state !== known?.state;
+      counts.suspicions +=
+        turned && member.state === MemberState.SUSPECT ? 1 : 0;
+      counts.falseDeaths += turned && member.state === MemberState.DEAD ? 1 : 0;
+    }),
+  );
+  fleet.network.faults.loss = LOSS;
+  await fleet.clock.advance(LOSS_MINUTES * 60_000);
+  return {loss: LOSS, minutes: LOSS_MINUTES, daemons: 8, ...counts};
+}
--- /dev/null
+++ b/bench/programs/sink.ts
@@ -0,0 +1,13 @@
+/** Counts packets at several addresses: `sink.js KNOBS ADDRESS,ADDRESS...`. */
+import {bindUdp} from '../../src/adapters/udp-socket.js';
+import {startStandinServer} from '../../standins/knobs.js';
+
+const [knobs, addresses] = process.argv.slice(2);
+let packets = 0;
+const sockets = await Promise.all(addresses.split(',').map(bindUdp));
+sockets.forEach(socket =>
+  socket.on('message', () => {
+    packets += 1;
+  }),
+);
+await startStandinServer(knobs, () => ({packets}));
--- a/src/adapters/daemon-peers.ts
+++ b/src/adapters/daemon-peers.ts
@@ -13,11 +13,11 @@
   type Probe,
 } from '../generated/packet.js';
 import {
+  ExceptionBatch,
   PeerClient,
   PeerService,
   type BatchReply,
   type ChangeList,
-  type ExceptionBatch,
   type FlowException,
   type KeyBatch,
   type KeyRecord,
@@ -102,6 +102,7 @@
   probe(address: string, probe: Probe): void {
     const bytes = this.sendDatagram(address, {...this.empty(), probe});
     this.options.counters.add(Metric.CONTROL_BYTES_SENT, bytes);
+    this.options.counters.add(Metric.CONTROL_DATAGRAMS_SENT);
   }
 
   pushExceptions(
@@ -112,6 +113,10 @@
   ): ResultAsync<number, PeerUnavailable> {
     const client = this.clientOf(address);
     const request = {sender: this.options.id, exceptions, target};
+    const {counters} = this.options;
+    const bytes = ExceptionBatch.encode(request).finish().length;
+    counters.add(Metric.REPLICATION_BYTES_SENT, bytes);
+    counters.add(Metric.REPLICATION_ENTRIES_SENT, exceptions.length);
     return this.call<BatchReply>(address, deadline, (...rest) =>
       client.pushExceptions(request, ...rest),
     ).map(reply => reply.accepted);
--- a/src/adapters/udp-fabric.ts
+++ b/src/adapters/udp-fabric.ts
@@ -1,23 +1,23 @@
 /** The fabric as protobuf datagrams over UDP. */
 import type dgram from 'node:dgram';
-import {Packet, PacketKind} from '../generated/packet.js';
+import {PacketHeader, PacketKind} from '../generated/packet.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import {Fabric, type FabricPacket} from '../ports/fabric.js';
 import {bindUdp} from './udp-socket.js';
 
 const HIGHEST_PORT = 65_535;
 
-/** Reads a packet; undefined when the bytes are no well-formed packet. */
-export function decodePacket(bytes: Uint8Array): Packet | undefined {
+/** Reads a packet's header; undefined when the bytes are no well-formed packet. */
+export function decodePacket(bytes: Uint8Array): PacketHeader | undefined {
   try {
-    const packet = Packet.decode(bytes);
+    const packet = PacketHeader.decode(bytes);
     return isWellFormed(packet) ? packet : undefined;
   } catch {
     return undefined;
   }
 }
 
-function isWellFormed(packet: Packet): boolean {
+function isWellFormed(packet: PacketHeader): boolean {
   return (
     packet.sourcePort <= HIGHEST_PORT &&
     packet.destinationPort <= HIGHEST_PORT &&
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -130,6 +130,7 @@
       self: this.listed(InstanceState.LIVE),
       clock: this.clock,
       hasher,
+      counters,
       list: this.list,
       backends,
       coordinator: this.coordinator,
--- a/src/daemon/platform-tasks.ts
+++ b/src/daemon/platform-tasks.ts
@@ -3,6 +3,7 @@
 import type {ServerMark} from '../generated/peer.js';
 import type {BackendServers} from '../ports/backend-servers.js';
 import type {Clock, Timer} from '../ports/clock.js';
+import {Metric, type Counters} from '../ports/counters.js';
 import type {Hasher} from '../ports/hasher.js';
 import {
   InstanceRole,
@@ -32,6 +33,7 @@
   readonly self: ListedInstance;
   readonly clock: Clock;
   readonly hasher: Hasher;
+  readonly counters: Counters;
   readonly list: InstanceList;
   readonly backends: BackendServers;
   readonly coordinator: FlowCoordinator;
@@ -186,6 +188,7 @@
   ): Promise<void> {
     const {backends, clock} = this.options;
     const deadline = clock.now() + HEALTH_TIMEOUT_MS;
+    this.options.counters.add(Metric.HEALTH_PROBES);
     const result = await backends.health(server, deadline);
     const failures = result.isOk() ? 0 : (this.failures.get(server) ?? 0) + 1;
     this.failures.set(server, failures);
--- a/src/ports/fabric.ts
+++ b/src/ports/fabric.ts
@@ -1,9 +1,9 @@
 /** The port to the fabric, which hands over packets of flows. */
-import type {Packet} from '../generated/packet.js';
+import type {PacketHeader} from '../generated/packet.js';
 
 /** A packet and the bytes that it arrived as. */
 export interface FabricPacket {
-  readonly packet: Packet;
+  readonly packet: PacketHeader;
   readonly bytes: Uint8Array;
 }
 
--- a/src/recovery/flow-coordinator.ts
+++ b/src/recovery/flow-coordinator.ts
@@ -2,9 +2,8 @@
  * One daemon's part in keeping flows: it joins routing, membership, the log of
  * changes and the moves of state, and knows the outside through ports alone.
  */
-import {match} from 'ts-pattern';
 import type {Hint, PassedPacket} from '../generated/packet.js';
-import {Packet} from '../generated/packet.js';
+import {PacketHeader} from '../generated/packet.js';
 import type {
   Change,
   FlowException,
@@ -36,10 +35,11 @@
   FROM_FABRIC,
   type Arrival,
   type Decision,
+  type Drop,
   type Forward,
   type Pass,
 } from '../routing/decision.js';
-import {partitionOf} from '../routing/flow-key.js';
+import {partitionOf, type FlowKey} from '../routing/flow-key.js';
 import {Ownership} from '../routing/ownership.js';
 import {
   Router,
@@ -286,25 +286,30 @@
     arrival: Arrival,
     entry: string,
   ): void {
-    const {counters} = this.options;
-    match(decision)
-      .with({kind: DecisionKind.FORWARD}, forward => {
-        counters.add(Metric.PACKETS_FORWARDED);
-        this.options.backends.send(forward.server, packet.bytes);
-        this.sendHint(forward, packet.packet, entry);
-      })
-      .with({kind: DecisionKind.PASS}, pass => {
-        counters.add(Metric.PACKETS_PASSED);
-        this.pass(pass, packet.bytes, arrival.hops + 1, entry);
-      })
-      .with({kind: DecisionKind.DROP}, ({reason}) =>
-        counters.add(
-          reason === DropReason.UNKNOWN_ADDRESS
-            ? Metric.PACKETS_UNKNOWN_ADDRESS
-            : Metric.PACKETS_UNROUTABLE,
-        ),
-      )
-      .exhaustive();
+    // This runs for every packet, where pattern matching costs too much.
+    if (decision.kind === DecisionKind.FORWARD) {
+      this.forward(decision, packet, entry);
+    } else if (decision.kind === DecisionKind.PASS) {
+      this.pass(decision, packet.bytes, arrival.hops + 1, entry);
+    } else {
+      this.drop(decision);
+    }
+  }
+
+  private forward(forward: Forward, packet: FabricPacket, entry: string): void {
+    this.options.counters.add(Metric.PACKETS_FORWARDED);
+    this.options.backends.send(forward.server, packet.bytes);
+    if (forward.remember !== undefined) {
+      this.sendHint(forward.server, forward.remember, packet.packet, entry);
+    }
+  }
+
+  private drop({reason}: Drop): void {
+    this.options.counters.add(
+      reason === DropReason.UNKNOWN_ADDRESS
+        ? Metric.PACKETS_UNKNOWN_ADDRESS
+        : Metric.PACKETS_UNROUTABLE,
+    );
   }
 
   private pass(
@@ -313,6 +318,7 @@
     hops: number,
     entry: string,
   ): void {
+    this.options.counters.add(Metric.PACKETS_PASSED);
     const address = this.members.get(pass.member)?.address;
     if (address !== undefined) {
       const {decide, chain} = pass;
@@ -331,19 +337,23 @@
     }
   }
 
-  private sendHint(forward: Forward, packet: Packet, entry: string): void {
+  private sendHint(
+    server: string,
+    key: FlowKey,
+    packet: PacketHeader,
+    entry: string,
+  ): void {
     const address = this.members.get(entry)?.address;
-    if (forward.remember === undefined || address === undefined) {
-      return;
+    if (address !== undefined) {
+      const hint: Hint = {
+        keyHigh: key.high,
+        keyLow: key.low,
+        server,
+        address: packet.destinationAddress,
+        port: packet.destinationPort,
+      };
+      this.options.peers.hint(address, hint);
     }
-    const hint: Hint = {
-      keyHigh: forward.remember.high,
-      keyLow: forward.remember.low,
-      server: forward.server,
-      address: packet.destinationAddress,
-      port: packet.destinationPort,
-    };
-    this.options.peers.hint(address, hint);
   }
 
   private onMember(member: Member, before: Member | undefined): void {
@@ -647,9 +657,9 @@
   }
 }
 
-function decodePassed(passed: PassedPacket): Packet | undefined {
+function decodePassed(passed: PassedPacket): PacketHeader | undefined {
   try {
-    return Packet.decode(passed.packet);
+    return PacketHeader.decode(passed.packet);
   } catch {
     return undefined;
   }
--- a/src/routing/address-table.ts
+++ b/src/routing/address-table.ts
@@ -6,6 +6,7 @@
  * tracked when a flow may be elsewhere; the owner of a tracked key is asked.
  */
 import type {Hasher} from '../ports/hasher.js';
+import {eligibleServers, type EligibleServer} from './candidates.js';
 import type {FlowKey} from './flow-key.js';
 import {
   createMaglevTable,
@@ -100,6 +101,10 @@
     readonly generations: readonly GenerationTable[],
     /** Servers whose base flows may be elsewhere, by directory number. */
     private readonly disturbed: ReadonlySet<number>,
+    /** Keys whose low half is below this, modulo `SHARE_STEPS`, are flexible. */
+    private readonly flexibleSteps: number,
+    /** Servers of the newest generation that may take new flows. */
+    readonly eligible: readonly EligibleServer[],
   ) {}
 
   /** Builds the tables; `marks` are the newest known, active or not. */
@@ -116,7 +121,15 @@
       .flatMap(({generation}) => generation.servers)
       .filter(({id}) => marks.isDisturbed(id, wallMs))
       .map(({id}) => builder.directory.numberOf(id));
-    return new AddressTable(routed, generations, new Set(disturbed));
+    const shares = generations.map(table => table.generation.flexibleShare);
+    const flexibleSteps = Math.max(0, ...shares) * SHARE_STEPS;
+    return new AddressTable(
+      routed,
+      generations,
+      new Set(disturbed),
+      flexibleSteps,
+      eligibleServers(generations, marks),
+    );
   }
 
   /** The newest generation. */
@@ -137,12 +150,10 @@
 
   /** Whether a flow of this key may be at another than its base server. */
   isTracked(key: FlowKey): boolean {
-    if (this.generations.length > 1 && !this.isUnchanged(key)) {
-      return true;
-    }
     return (
-      this.generations.some(table => isFlexible(table, key)) ||
-      this.disturbed.has(this.baseServer(key))
+      key.low % SHARE_STEPS < this.flexibleSteps ||
+      (this.generations.length > 1 && !this.isUnchanged(key)) ||
+      (this.disturbed.size > 0 && this.disturbed.has(this.baseServer(key)))
     );
   }
 }
@@ -153,9 +164,3 @@
     ? NO_SERVER
     : table.numbers[table.lookup[key.high % table.lookup.length]];
 }
-
-/** Whether flows of the key may be placed by load. */
-function isFlexible(table: GenerationTable, key: FlowKey): boolean {
-  const step = key.low % SHARE_STEPS;
-  return step < table.generation.flexibleShare * SHARE_STEPS;
-}
--- a/src/routing/flow-key.ts
+++ b/src/routing/flow-key.ts
@@ -1,5 +1,5 @@
 /** Flow keys: 64 bits of hash over a flow's four address fields. */
-import type {Packet} from '../generated/packet.js';
+import type {PacketHeader} from '../generated/packet.js';
 import type {Hasher} from '../ports/hasher.js';
 
 /** Number of partitions that flow keys fall into; each has an owner daemon. */
@@ -19,7 +19,7 @@
 
 /** The address fields of a packet. */
 export type FlowAddresses = Pick<
-  Packet,
+  PacketHeader,
   'sourceAddress' | 'sourcePort' | 'destinationAddress' | 'destinationPort'
 >;
 
--- a/src/routing/newest-table-router.ts
+++ b/src/routing/newest-table-router.ts
@@ -2,7 +2,7 @@
  * The naive router, kept to be measured against: the newest table over the
  * servers that are live now, and no memory of flows.
  */
-import type {Packet} from '../generated/packet.js';
+import type {PacketHeader} from '../generated/packet.js';
 import type {Hasher} from '../ports/hasher.js';
 import {DecisionKind, DropReason, type Decision} from './decision.js';
 import {FlowKeys, destinationKey} from './flow-key.js';
@@ -53,7 +53,7 @@
   }
 
   /** Decides what is done with a packet. */
-  route(packet: Packet): Decision {
+  route(packet: PacketHeader): Decision {
     const table = this.tables.get(
       destinationKey(packet.destinationAddress, packet.destinationPort),
     );
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -1,5 +1,5 @@
 /** The router that keeps flows at their servers through change. */
-import {PacketKind, type Hint, type Packet} from '../generated/packet.js';
+import {PacketKind, type Hint, type PacketHeader} from '../generated/packet.js';
 import type {FlowException} from '../generated/peer.js';
 import type {Clock} from '../ports/clock.js';
 import {Metric, type Counters} from '../ports/counters.js';
@@ -220,7 +220,7 @@
   }
 
   /** Decides what is done with a packet. */
-  route(packet: Packet, arrival: Arrival): Decision {
+  route(packet: PacketHeader, arrival: Arrival): Decision {
     const table = this.tables.get(
       destinationKey(packet.destinationAddress, packet.destinationPort),
     );
@@ -310,7 +310,7 @@
    * An open that waited while this daemon was paused may repeat one that was
    * placed long ago by other tables. Its caller sends it again.
    */
-  private mayHaveWaited(packet: Packet): boolean {
+  private mayHaveWaited(packet: PacketHeader): boolean {
     return (
       packet.kind === PacketKind.OPEN && !this.view.isInTouch(this.options.self)
     );
@@ -336,7 +336,7 @@
   private forwardToBase(
     table: AddressTable,
     key: FlowKey,
-    packet: Packet,
+    packet: PacketHeader,
   ): Decision {
     const server = table.baseServer(key);
     if (server === NO_SERVER) {
@@ -350,7 +350,7 @@
   private forwardKnown(
     table: AddressTable,
     key: FlowKey,
-    packet: Packet,
+    packet: PacketHeader,
     arrival: Arrival,
   ): Forward | undefined {
     const place = this.flows.find(key);
@@ -474,7 +474,7 @@
   private decide(
     table: AddressTable,
     key: FlowKey,
-    packet: Packet,
+    packet: PacketHeader,
     arrival: Arrival,
   ): Decision {
     if (!this.isTracked(table, key)) {
@@ -525,8 +525,7 @@
     if (active.newest.numbers.length === 0) {
       return {kind: DecisionKind.DROP, reason: DropReason.ADDRESS_NOT_IN_FORCE};
     }
-    const candidates = candidatesOf(active, active.newest, {
-      marks: this.activeMarks,
+    const candidates = candidatesOf(active.eligible, active.routed, {
       ledger: this.ledger,
       members: this.view.members,
       wallMs: this.options.clock.wall(),
