--- a/bench/experiments/replication.ts
+++ b/bench/experiments/replication.ts
@@ -76,7 +76,11 @@
   const [first] = [...cluster.daemons.keys()];
   cluster.killDaemon(first);
   await pause(WATCH_MS);
-  const totals = totalsOf(await cluster.flows());
+  const report = await cluster.flows();
+  const totals = totalsOf(report);
+  report.services.forEach(({brokenExamples}) =>
+    brokenExamples.forEach(example => context.say(`${way}: ${example}`)),
+  );
   const backends = await cluster.backendReports();
   await cluster.close();
   context.say(`${way}: ${totals.brokenFlows} broken, ${bytes} bytes`);
--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -221,14 +221,18 @@
     this.options.hooks.onConfirmed();
   }
 
-  /** Peers probed in this round. */
+  /** Peers probed in this round: some in turn, and those that are silent. */
   private targets(): Member[] {
     const peers = this.peersToProbe();
     if (peers.length < MESH_LIMIT) {
       return peers;
     }
     const start = (this.turn * MESH_LIMIT) % peers.length;
-    return [...peers, ...peers].slice(start, start + MESH_LIMIT);
+    const inTurn = [...peers, ...peers].slice(start, start + MESH_LIMIT);
+    const silent = peers
+      .filter(({id}) => this.contactOf(id).pendingSequence !== 0)
+      .filter(peer => !inTurn.includes(peer));
+    return [...inTurn, ...silent];
   }
 
   private peersToProbe(): Member[] {
--- a/src/membership/member-list.ts
+++ b/src/membership/member-list.ts
@@ -132,7 +132,10 @@
     }
     this.news = [
       ...this.news.filter(item => item.member.id !== member.id),
-      {member, left: NEWS_REPEATS * Math.max(1, this.members.size - 1)},
+      {
+        member,
+        left: NEWS_REPEATS * Math.ceil(Math.log2(this.members.size + 1)),
+      },
     ];
     this.listeners.forEach(listener => listener(member, before));
   }
--- a/src/membership/timing.ts
+++ b/src/membership/timing.ts
@@ -41,7 +41,7 @@
 /** Relays asked to probe a member that did not answer. */
 export const RELAY_COUNT = 2;
 
-/** Datagrams that carry one piece of member news to each peer. */
+/** Datagrams that carry a piece of member news, for each doubling of members. */
 export const NEWS_REPEATS = 4;
 
 /**
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -405,7 +405,12 @@
     }
     const partition = partitionOf(key);
     if (owner === this.options.self && this.view.isInTouch(owner)) {
-      return this.passAlong(key, this.predecessorsOf(partition));
+      const earlier = this.predecessorsOf(partition);
+      // The question comes back: what nobody knows is decided here.
+      return this.passAlong(
+        key,
+        earlier.length === 0 ? [] : [...earlier, owner],
+      );
     }
     const receiver = this.deciderOf(partition, owner, arrival.hops);
     return receiver === undefined || receiver === this.options.self
@@ -442,10 +447,9 @@
     key: FlowKey,
     chain: readonly string[],
   ): Decision | undefined {
-    const [member, ...rest] = chain.filter(
-      id => id !== this.options.self && this.view.isInTouch(id),
-    );
-    return member === undefined || this.isPlacedHere(key)
+    const [member, ...rest] = chain.filter(id => this.view.isInTouch(id));
+    const isOwn = member === undefined || member === this.options.self;
+    return isOwn || this.isPlacedHere(key)
       ? undefined
       : {kind: DecisionKind.PASS, member, decide: true, chain: rest};
   }
--- a/standins/flow-callers.ts
+++ b/standins/flow-callers.ts
@@ -21,6 +21,7 @@
 const PORTS_A_SOURCE = 60_000;
 const FIRST_PORT = 1_024;
 const MICROSECONDS = 1_000;
+const EXAMPLES = 5;
 
 /** How a flow stands. */
 export const FlowState = {
@@ -68,6 +69,8 @@
   /** Broken flows that had been open for over a second. */
   readonly brokenAfterSecond: number;
   readonly moved: number;
+  /** The first few broken flows, for people. */
+  readonly brokenExamples: readonly string[];
   /** Open flows by server. */
   readonly servers: Readonly<Record<string, number>>;
   /** Age of the oldest unanswered packet, in milliseconds. */
@@ -322,6 +325,15 @@
           state === FlowState.BROKEN && brokenMs - openedMs > 1_000,
       ).length,
       moved: this.moved.get(service) ?? 0,
+      brokenExamples: flows
+        .filter(({state}) => state === FlowState.BROKEN)
+        .slice(0, EXAMPLES)
+        .map(
+          flow =>
+            `flow ${flow.packet.sourcePort} of ${flow.server}, open for ` +
+            `${flow.brokenMs - flow.openedMs} ms, silent for ` +
+            `${flow.brokenMs - flow.answeredMs} ms`,
+        ),
       servers: countBy(open, ({server}) => server),
       longestSilenceMs: Math.max(
         0,
--- a/standins/memory-network.ts
+++ b/standins/memory-network.ts
@@ -18,12 +18,18 @@
   loss: number;
   /** Longest delay in milliseconds; datagrams overtake each other. */
   delayMs: number;
+  /** Confirms entries without delivering them. */
+  swallowPushes: boolean;
 }
 
 /** All daemons that can reach each other. */
 export class MemoryNetwork {
-  readonly faults: NetworkFaults = {loss: 0, delayMs: 1};
-  /** Bytes of probes sent, by sender address. */
+  readonly faults: NetworkFaults = {
+    loss: 0,
+    delayMs: 1,
+    swallowPushes: false,
+  };
+  /** Ways that are cut, as "from>to". */
   readonly cut = new Set<string>();
   private readonly handlers = new Map<string, PeerHandlers>();
   /** Datagrams that wait for a frozen daemon. */
@@ -187,7 +193,9 @@
     target = '',
   ): ResultAsync<number, PeerUnavailable> {
     return this.call(address, deadline, handlers =>
-      handlers.onExceptions(this.id, exceptions, target),
+      this.network.faults.swallowPushes
+        ? exceptions.length
+        : handlers.onExceptions(this.id, exceptions, target),
     );
   }
 
