A joining daemon owns partitions only when both sides are in touch

Cause: flows opened while a daemon joined broke (1 of 1,000 in a test that opens four every 20 ms): the new owner reached the others, but they had not probed it yet, so the chain of questions ended elsewhere and the backup decided.

Change: probes say whether their sender is in touch with the receiver; a joining daemon waits until that holds both ways; a new member is probed at once.

--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -43,6 +43,8 @@
   /** The peer's log as its newest datagram told. */
   logEpoch: number;
   logTop: number;
+  /** Whether the peer said that this daemon answers it. */
+  hearsThis: boolean;
   misses: number;
   /** When a suspected peer is declared dead. */
   suspicionDeadline: number;
@@ -132,6 +134,11 @@
     return (this.contacts.get(id)?.answeredSentMs ?? -Infinity) >= limit;
   }
 
+  /** Whether this daemon and the member both had answers of late. */
+  isMutual(id: string): boolean {
+    return this.isInTouch(id) && this.contactOf(id).hearsThis;
+  }
+
   /** Members whose confirmation is to be waited for. */
   peersInContact(): string[] {
     const {clock, members} = this.options;
@@ -402,6 +409,7 @@
       relayFrom: '',
       subject: '',
       outOfTouch: false,
+      inTouch: peer !== undefined && this.isInTouch(peer),
     };
   }
 
@@ -460,6 +468,7 @@
     contact.heardMs = clock.now();
     contact.logEpoch = probe.logEpoch;
     contact.logTop = probe.logTop;
+    contact.hearsThis = probe.inTouch;
     const {state, incarnation} = memberOf({
       ...known,
       state: probe.state,
@@ -519,6 +528,7 @@
       heardMs: this.options.clock.now(),
       logEpoch: 0,
       logTop: 0,
+      hearsThis: false,
       misses: 0,
       suspicionDeadline: 0,
     };
--- a/src/recovery/flow-coordinator.ts
+++ b/src/recovery/flow-coordinator.ts
@@ -362,6 +362,9 @@
       state: MEMBER_STATE_NAMES[member.state],
       incarnation: member.incarnation,
     });
+    if (before === undefined && member.id !== this.members.self.id) {
+      this.detector.probeNow(member.id);
+    }
     if (member.state >= MemberState.DEAD) {
       this.router.forgetPredecessor(member.id);
     }
@@ -613,8 +616,8 @@
   }
 
   /**
-   * Owns partitions from now on. Packets of unknown flows are passed to the
-   * owners before, so these must be in touch first.
+   * Owns partitions from now on. Packets of unknown flows go to the owners
+   * before and back, so both sides must be in touch first.
    */
   private async becomeReady(): Promise<void> {
     const deadline = this.options.clock.now() + TOUCH_MS;
