--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -9,8 +9,11 @@
 import {forwarding} from './experiments/forwarding.js';
 import {imbalance} from './experiments/imbalance.js';
 import {membership} from './experiments/membership.js';
+import {overload} from './experiments/overload.js';
 import {replication} from './experiments/replication.js';
+import {requestsFaults} from './experiments/requests-faults.js';
 import {rollingReplace} from './experiments/rolling-replace.js';
+import {storeOutage} from './experiments/store-outage.js';
 import {tables} from './experiments/tables.js';
 
 const LIMIT_MS = 120_000;
@@ -27,6 +30,9 @@
   replication,
   membership,
   tables,
+  requestsFaults,
+  overload,
+  storeOutage,
 ];
 
 interface Options {
--- a/src/admission/dispatcher.ts
+++ b/src/admission/dispatcher.ts
@@ -18,6 +18,8 @@
 const FIRST_MEAN_MS = 50;
 /** Mean service times after which a second try is made. */
 const HEDGE_AFTER_MEANS = 4;
+/** Mean service times after which a full own slot is tried again. */
+const OWN_PAUSE_MEANS = 0.7;
 const SHORTEST_RETRY_AFTER_MS = 100;
 
 /** A request as the dispatcher gets it. */
@@ -164,18 +166,16 @@
       .exhaustive();
   }
 
-  /** The server surely did not start the request, so any may be tried. */
+  /**
+   * The server surely did not start the request, so any may be tried. With an
+   * empty budget nothing is borrowed any more, and refusals cease.
+   */
   private repeat(
     request: AdmittedRequest,
     excluded: ReadonlySet<string>,
     server: string,
   ): Promise<Outcome> {
-    if (!this.budget.spend()) {
-      const retryAfter = this.retryAfterMs(this.meanMs);
-      return Promise.resolve(
-        ended(OutcomeReason.RETRY_BUDGET_SPENT, retryAfter),
-      );
-    }
+    this.budget.charge();
     this.options.counters.add(Metric.REQUESTS_RETRIED);
     return this.tryUntilEnd(request, new Set([...excluded, server]));
   }
@@ -202,7 +202,7 @@
       ? excluded
       : new Set<string>();
     if (this.queue.size === 0) {
-      const server = this.beliefs.take(usable);
+      const server = this.beliefs.take(usable, this.budget.isOpen);
       if (server !== undefined) {
         return server;
       }
@@ -246,7 +246,7 @@
     this.timer?.cancel();
     this.timer = undefined;
     while (this.queue.size > 0) {
-      const server = this.beliefs.take(new Set());
+      const server = this.beliefs.take(new Set(), this.budget.isOpen);
       if (server === undefined) {
         this.pumpLater();
         return;
@@ -302,7 +302,7 @@
     if (this.queue.size > 0 || !this.budget.spend()) {
       return undefined;
     }
-    return this.beliefs.take(new Set([first]));
+    return this.beliefs.take(new Set([first]), true);
   }
 
   private async tryOnce(
@@ -358,7 +358,7 @@
     reply: RunReply,
   ): Try {
     if (!reply.started) {
-      this.beliefs.refuse(server);
+      this.beliefs.refuse(server, this.meanMs * OWN_PAUSE_MEANS);
       return {kind: 'not-started', server};
     }
     this.beliefs.release(server, reply.busySlots);
--- a/src/admission/retry-budget.ts
+++ b/src/admission/retry-budget.ts
@@ -1,6 +1,6 @@
 /** A budget that keeps repeated tries to a share of the first ones. */
 
-const DEFAULT_RESERVE = 10;
+const DEFAULT_RESERVE = 3;
 
 /** Earns a share of a try with each first try; each repeat spends one. */
 export class RetryBudget {
@@ -25,6 +25,16 @@
     this.balance = Math.min(this.reserve, this.balance + this.share);
   }
 
+  /** Whether a repeat could be taken. */
+  get isOpen(): boolean {
+    return this.balance >= 1;
+  }
+
+  /** Takes one repeat that is made in any case; the balance may go below 0. */
+  charge(): void {
+    this.balance = Math.max(-this.reserve, this.balance - 1);
+  }
+
   /** Takes one repeat; false when there is none left. */
   spend(): boolean {
     if (this.balance < 1) {
--- a/src/admission/slot-beliefs.ts
+++ b/src/admission/slot-beliefs.ts
@@ -2,7 +2,7 @@
  * What one daemon believes of the slots of a pool's servers.
  *
  * The slots are shared with daemons that do not see each other's counts. Each
- * slot is assigned to one daemon by rendezvous; a daemon uses its own slots
+ * slot is assigned to one daemon; a daemon uses its own slots
  * freely and borrows others that it believes free. A server's refusal is the
  * truth, and a borrower that finds a server full leaves it alone for a while.
  */
@@ -11,8 +11,8 @@
 
 /** Time a refused or full server is left alone, in milliseconds. */
 const BORROW_PAUSE_MS = 40;
-/** Time a server that refused an own slot is left alone, in milliseconds. */
-const OWN_PAUSE_MS = 8;
+/** Times that a pause is doubled, at the most, while a server refuses. */
+const LONGEST_DOUBLINGS = 4;
 /** Time a server that cannot be reached is left alone, in milliseconds. */
 const UNREACHABLE_PAUSE_MS = 1_000;
 
@@ -29,6 +29,8 @@
   pausedUntil: number;
   /** Until when nothing is borrowed; monotonic milliseconds. */
   borrowPausedUntil: number;
+  /** Refusals since the server last started a request. */
+  refusals: number;
 }
 
 /** What beliefs are made from. */
@@ -66,16 +68,18 @@
     daemons: readonly string[],
   ): void {
     const before = new Map(this.servers.map(server => [server.id, server]));
+    const own = this.countOwnSlots(servers, daemons);
     this.servers = servers.map(({id, slots}) => {
       const known = before.get(id);
       return {
         id,
         slots,
-        ownSlots: this.countOwnSlots(id, slots, daemons),
+        ownSlots: own.get(id) ?? 0,
         outstanding: known?.outstanding ?? 0,
         othersBusy: known?.othersBusy ?? 0,
         pausedUntil: known?.pausedUntil ?? 0,
         borrowPausedUntil: known?.borrowPausedUntil ?? 0,
+        refusals: known?.refusals ?? 0,
       };
     });
   }
@@ -85,15 +89,20 @@
     return this.servers.some(({id}) => !excluded.has(id));
   }
 
-  /** Takes a slot believed free; undefined when there is none. */
-  take(excluded: ReadonlySet<string>): string | undefined {
+  /**
+   * Takes a slot believed free; undefined when there is none. Borrowing may
+   * cost a refusal, so the caller says whether it may.
+   */
+  take(excluded: ReadonlySet<string>, mayBorrow: boolean): string | undefined {
     const now = this.options.clock.now();
     const open = this.servers.filter(
       server => server.pausedUntil <= now && !excluded.has(server.id),
     );
     const own = open.filter(server => server.outstanding < server.ownSlots);
+    const borrows = mayBorrow || this.ownSlots === 0;
     const borrowed = open.filter(
       server =>
+        borrows &&
         server.borrowPausedUntil <= now &&
         server.outstanding + server.othersBusy < server.slots,
     );
@@ -111,6 +120,7 @@
       return;
     }
     belief.outstanding = Math.max(0, belief.outstanding - 1);
+    belief.refusals = 0;
     if (busySlots === undefined) {
       return;
     }
@@ -121,8 +131,11 @@
     }
   }
 
-  /** The server refused a request: no slot was free. */
-  refuse(server: string): void {
+  /**
+   * The server refused a request: no slot was free. An own slot is left alone
+   * for `pauseMs`, and for longer when it is refused again.
+   */
+  refuse(server: string, pauseMs: number): void {
     const belief = this.find(server);
     if (belief === undefined) {
       return;
@@ -130,8 +143,10 @@
     const now = this.options.clock.now();
     const borrowed = belief.outstanding > belief.ownSlots;
     belief.outstanding = Math.max(0, belief.outstanding - 1);
-    belief.borrowPausedUntil = now + BORROW_PAUSE_MS;
-    belief.pausedUntil = borrowed ? belief.pausedUntil : now + OWN_PAUSE_MS;
+    belief.refusals += 1;
+    const longer = 2 ** Math.min(belief.refusals - 1, LONGEST_DOUBLINGS);
+    belief.borrowPausedUntil = now + BORROW_PAUSE_MS * longer;
+    belief.pausedUntil = borrowed ? belief.pausedUntil : now + pauseMs * longer;
     // What others use is forgotten after the pause, so that it is tried again.
     belief.othersBusy = 0;
   }
@@ -158,23 +173,30 @@
     return this.servers.find(({id}) => id === server);
   }
 
+  /**
+   * Deals the slots out to the daemons in turn, one slot of each server after
+   * the other, so that every daemon has nearly as many as any other.
+   */
   private countOwnSlots(
-    server: string,
-    slots: number,
+    servers: readonly {id: string; slots: number}[],
     daemons: readonly string[],
-  ): number {
+  ): Map<string, number> {
     const {hasher, self} = this.options;
-    const ownerOf = (slot: number) =>
-      daemons.reduce(
-        (best, id) => {
-          const score = hasher.hashText(`${server}/${id}`, slot);
-          return score > best.score ? {id, score} : best;
-        },
-        {id: self, score: -1},
-      ).id;
-    return Array.from({length: slots}, (_, slot) => ownerOf(slot)).filter(
-      owner => owner === self,
-    ).length;
+    const sorted = [...servers].sort((a, b) => (a.id < b.id ? -1 : 1));
+    const seed = hasher.hashText(sorted.map(({id}) => id).join(), 0);
+    const ranked = [...daemons].sort(
+      (a, b) => hasher.hashText(a, seed) - hasher.hashText(b, seed),
+    );
+    const position = ranked.indexOf(self);
+    const most = Math.max(0, ...sorted.map(({slots}) => slots));
+    const dealt = Array.from({length: most}).flatMap((_, slot) =>
+      sorted.filter(({slots}) => slot < slots).map(({id}) => id),
+    );
+    const own = new Map<string, number>();
+    dealt
+      .filter((_, index) => index % ranked.length === position)
+      .forEach(id => own.set(id, (own.get(id) ?? 0) + 1));
+    return own;
   }
 }
 
--- a/src/configuration/process-settings.ts
+++ b/src/configuration/process-settings.ts
@@ -62,7 +62,7 @@
   requests: z
     .strictObject({
       policy: oneOf(['weldyard', 'naive']).prefault('weldyard'),
-      'retry-share': fraction(0, 1).prefault('0.1'),
+      'retry-share': fraction(0, 1).prefault('0.05'),
     })
     .prefault({}),
   log: z
