--- a/bench/cluster.ts
+++ b/bench/cluster.ts
@@ -35,6 +35,8 @@
   readonly connections: number;
   readonly serviceMs: number;
   readonly repeatable: boolean;
+  /** "workspace/service" of the plan whose servers this one uses too. */
+  readonly sharedWith?: string;
   /** Relative weights of the first servers; 1 for the others. */
   readonly weights?: readonly number[];
 }
@@ -267,7 +269,8 @@
   /** The INI sources of the services, but for servers left out. */
   configuration(leftOut: readonly string[] = []): Record<string, string> {
     const {services} = this.options;
-    const templates = services.map(plan => [
+    const owners = services.filter(plan => plan.sharedWith === undefined);
+    const templates = owners.map(plan => [
       `template/${plan.service}`,
       this.templateText(plan),
     ]);
@@ -384,7 +387,8 @@
   /** One process for the servers of a service in a failure domain. */
   private async startBackends(): Promise<void> {
     const {services, domains} = this.options;
-    services.forEach(plan => {
+    const owners = services.filter(plan => plan.sharedWith === undefined);
+    owners.forEach(plan => {
       const name = `${plan.workspace}/${plan.service}`;
       const servers = Array.from({length: plan.servers}, () => this.takePair());
       servers.forEach(address =>
@@ -498,6 +502,7 @@
       `slots = ${plan.slots}`,
       `connections = ${plan.connections}`,
       `warm-up = ${warmUp}`,
+      ...this.sharedServers(plan).map(id => `servers[] = ${id}`),
       '',
       '[flows]',
       `flexible-share = ${flexibleShare}`,
@@ -517,7 +522,10 @@
       `[service.${plan.service}]`,
       `template = ${plan.service}`,
       `address = ${plan.address}`,
-      ...this.serversOf(`${workspace}/${plan.service}`)
+      ...(this.isShared(plan)
+        ? []
+        : this.serversOf(`${workspace}/${plan.service}`)
+      )
         .map(
           (id, index) =>
             `servers[] = ${id} weight=${plan.weights?.[index] ?? 1}`,
@@ -527,6 +535,22 @@
     return ['[workspace]', `name = ${workspace}`, ...sections, ''].join('\n');
   }
 
+  /** Servers that the template names, because several workspaces use them. */
+  private sharedServers(plan: ServicePlan): string[] {
+    return this.isShared(plan)
+      ? this.serversOf(`${plan.workspace}/${plan.service}`)
+      : [];
+  }
+
+  private isShared(plan: ServicePlan): boolean {
+    const name = `${plan.workspace}/${plan.service}`;
+    const {services} = this.options;
+    return (
+      plan.sharedWith !== undefined ||
+      services.some(({sharedWith}) => sharedWith === name)
+    );
+  }
+
   private daemonSettings(handle: DaemonHandle): string {
     const {policy = 'weldyard', requestPolicy = 'weldyard'} = this.options;
     const {store, list} = this.addresses;
--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -4,8 +4,10 @@
 import {cac} from 'cac';
 import {drawPage, mergeEvents} from '../src/cli/timeline-view.js';
 import type {Cluster} from './cluster.js';
+import {capacity} from './experiments/capacity.js';
 import {crash} from './experiments/crash.js';
 import type {Experiment, Findings} from './experiments/experiment.js';
+import {fairness} from './experiments/fairness.js';
 import {forwarding} from './experiments/forwarding.js';
 import {imbalance} from './experiments/imbalance.js';
 import {membership} from './experiments/membership.js';
@@ -33,6 +35,8 @@
   requestsFaults,
   overload,
   storeOutage,
+  capacity,
+  fairness,
 ];
 
 interface Options {
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,96 @@
+/**
+ * The public library: the coordination parts of weldyard, for embedding. All
+ * of them see the outside through the ports that are exported here.
+ */
+
+// Ports
+export {Clock, type Timer} from './ports/clock.js';
+export {Counters, Metric} from './ports/counters.js';
+export {Hasher} from './ports/hasher.js';
+export {PeerUnavailable, Peers, type PeerHandlers} from './ports/peers.js';
+export {
+  Store,
+  StoreUnavailable,
+  ValueTooLarge,
+  type LeaseGrant,
+  type StoreFailure,
+  type StoredValue,
+  type SwapOutcome,
+} from './ports/store.js';
+export {
+  BackendServers,
+  BackendSilent,
+  BackendUnreachable,
+  type BackendFailure,
+} from './ports/backend-servers.js';
+export {
+  EventKind,
+  Timeline,
+  type Stamp,
+  type TimelineRecord,
+} from './ports/timeline.js';
+
+// Routing
+export {
+  createMaglevTable,
+  entryCountFor,
+  type LookupTable,
+  type WeightedServer,
+} from './routing/lookup-table.js';
+export {
+  LightestPlacement,
+  Placement,
+  type Candidate,
+} from './routing/placement.js';
+export {Ownership, type Candidacy} from './routing/ownership.js';
+export {Router, StateScope, type RouterOptions} from './routing/router.js';
+export {
+  DecisionKind,
+  DropReason,
+  FROM_FABRIC,
+  type Arrival,
+  type Decision,
+} from './routing/decision.js';
+export type {
+  AddressGeneration,
+  RoutedAddress,
+  RoutedServer,
+  RoutingRevision,
+} from './routing/routed-address.js';
+export {MarkKind, MarkState, ServerMarks} from './routing/server-marks.js';
+
+// Membership
+export {MemberList} from './membership/member-list.js';
+export {
+  MemberState,
+  firstIncarnation,
+  type Member,
+} from './membership/member.js';
+export {
+  FailureDetector,
+  type DetectorHooks,
+  type DetectorOptions,
+} from './membership/failure-detector.js';
+export {ChangeLog} from './membership/change-log.js';
+
+// Recovery
+export {
+  FlowCoordinator,
+  type FlowCoordinatorOptions,
+} from './recovery/flow-coordinator.js';
+
+// Admission
+export {
+  Dispatcher,
+  type AdmittedRequest,
+  type DispatcherOptions,
+} from './admission/dispatcher.js';
+export {RetryBudget} from './admission/retry-budget.js';
+export {RequestQueue, type Waiting} from './admission/request-queue.js';
+export {OutcomeReason, statusOf, type Outcome} from './admission/outcome.js';
+export {KeyRanges, type RangeView} from './admission/key-ranges.js';
+export {LeasedKeyGuard} from './admission/leased-key-guard.js';
+
+// Adapters that need nothing of a daemon
+export {SystemClock} from './adapters/system-clock.js';
+export {XxhashHasher} from './adapters/xxhash-hasher.js';
--- a/standins/memory-network.ts
+++ b/standins/memory-network.ts
@@ -1,11 +1,17 @@
 /** Peers of daemons in one process, with faults to order. */
 import {ResultAsync, errAsync} from 'neverthrow';
-import type {Hint, PassedPacket, Probe} from '../src/generated/packet.js';
-import type {
-  ChangeList,
-  FlowException,
-  KeyRecord,
-  MemberList,
+import {
+  PeerDatagram,
+  type Hint,
+  type PassedPacket,
+  type Probe,
+} from '../src/generated/packet.js';
+import {
+  ExceptionBatch,
+  type ChangeList,
+  type FlowException,
+  type KeyRecord,
+  type MemberList,
 } from '../src/generated/peer.js';
 import type {CallerReply, CallerRequest} from '../src/generated/request.js';
 import {PeerUnavailable, Peers, type PeerHandlers} from '../src/ports/peers.js';
@@ -31,6 +37,8 @@
   };
   /** Ways that are cut, as "from>to". */
   readonly cut = new Set<string>();
+  /** Bytes of probes and of entries sent by all daemons. */
+  readonly sentBytes = {probes: 0, entries: 0};
   private readonly handlers = new Map<string, PeerHandlers>();
   /** Datagrams that wait for a frozen daemon. */
   private readonly frozen = new Map<string, (() => void)[]>();
@@ -181,6 +189,9 @@
   }
 
   probe(address: string, probe: Probe): void {
+    const datagram = PeerDatagram.fromPartial({sender: this.id, probe});
+    this.network.sentBytes.probes +=
+      PeerDatagram.encode(datagram).finish().length;
     this.send(address, handlers =>
       handlers.onProbe(this.id, probe, this.address),
     );
@@ -192,6 +203,9 @@
     deadline: number,
     target = '',
   ): ResultAsync<number, PeerUnavailable> {
+    const batch = ExceptionBatch.fromPartial({sender: this.id, exceptions});
+    this.network.sentBytes.entries +=
+      ExceptionBatch.encode(batch).finish().length;
     return this.call(address, deadline, handlers =>
       this.network.faults.swallowPushes
         ? exceptions.length
