--- a/bench/cluster.ts
+++ b/bench/cluster.ts
@@ -141,6 +141,11 @@
     return cluster;
   }
 
+  /** "ip:port" of the store. */
+  get storeAddress(): string {
+    return this.addresses.store;
+  }
+
   /** Settings of the command line, for `weldyard --config`. */
   get toolSettings(): string {
     return path.join(this.folder, 'weldyard.ini');
--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -4,8 +4,12 @@
 import {cac} from 'cac';
 import {drawPage, mergeEvents} from '../src/cli/timeline-view.js';
 import type {Cluster} from './cluster.js';
+import {binding} from './experiments/binding.js';
 import {capacity} from './experiments/capacity.js';
+import {configSpread} from './experiments/config-spread.js';
+import {configStorm} from './experiments/config-storm.js';
 import {crash} from './experiments/crash.js';
+import {domainLoss} from './experiments/domain-loss.js';
 import type {Experiment, Findings} from './experiments/experiment.js';
 import {fairness} from './experiments/fairness.js';
 import {forwarding} from './experiments/forwarding.js';
@@ -37,6 +41,10 @@
   storeOutage,
   capacity,
   fairness,
+  binding,
+  domainLoss,
+  configStorm,
+  configSpread,
 ];
 
 interface Options {
--- a/src/admission/slot-beliefs.ts
+++ b/src/admission/slot-beliefs.ts
@@ -44,6 +44,7 @@
 /** Beliefs of one daemon about one pool. */
 export class SlotBeliefs {
   private servers: ServerBelief[] = [];
+  private turn = 0;
 
   private constructor(private readonly options: SlotBeliefsOptions) {}
 
@@ -95,7 +96,7 @@
    */
   take(excluded: ReadonlySet<string>, mayBorrow: boolean): string | undefined {
     const now = this.options.clock.now();
-    const open = this.servers.filter(
+    const open = this.inTurn().filter(
       server => server.pausedUntil <= now && !excluded.has(server.id),
     );
     const own = open.filter(server => server.outstanding < server.ownSlots);
@@ -169,6 +170,15 @@
     return Math.min(now + BORROW_PAUSE_MS, ...times);
   }
 
+  /** The servers from another one on each time, so that equals take turns. */
+  private inTurn(): ServerBelief[] {
+    this.turn = (this.turn + 1) % Math.max(1, this.servers.length);
+    return [
+      ...this.servers.slice(this.turn),
+      ...this.servers.slice(0, this.turn),
+    ];
+  }
+
   private find(server: string): ServerBelief | undefined {
     return this.servers.find(({id}) => id === server);
   }
--- a/src/configuration/editor.spec.ts
+++ b/src/configuration/editor.spec.ts
@@ -135,12 +135,15 @@
     const newest = [...last.edits]
       .reverse()
       .find(({changed}) => changed.includes(`workspace/${target}`));
-    const expected = attempts.find(
-      ({edit}) => edit.editId === newest?.editId,
-    )?.edit.changes[`workspace/${target}`];
+    const expected = attempts.find(({edit}) => edit.editId === newest?.editId)
+      ?.edit.changes[`workspace/${target}`];
     assert.equal(last.sources[`workspace/${target}`], expected ?? undefined);
   });
-  assert.deepEqual([...seen].sort((a, b) => a - b), seen, 'a revision reverted');
+  assert.deepEqual(
+    [...seen].sort((a, b) => a - b),
+    seen,
+    'a revision reverted',
+  );
 }
 
 test('a blind write loses edits that compare-and-swap keeps', async () => {
--- a/src/ports/counters.ts
+++ b/src/ports/counters.ts
@@ -13,7 +13,6 @@
   FLOWS_HELD: 'flows.held',
   FLOWS_CACHED: 'flows.cached',
   PEER_DATAGRAMS_REFUSED: 'peers.datagrams_refused',
-  PEER_CALLS_REFUSED: 'peers.calls_refused',
   PEER_BYTES_SENT: 'peers.bytes_sent',
   CONTROL_BYTES_SENT: 'control.bytes_sent',
   CONTROL_DATAGRAMS_SENT: 'control.datagrams_sent',
