--- /dev/null
+++ b/src/recovery/fleet-joining.ts
@@ -0,0 +1,164 @@
+/** Joining the fleet: learning members and changes, fetching state. */
+import type {Change} from '../generated/peer.js';
+import type {ChangeLog} from '../membership/change-log.js';
+import type {FailureDetector} from '../membership/failure-detector.js';
+import type {MemberList} from '../membership/member-list.js';
+import {MemberState, memberOf, type Member} from '../membership/member.js';
+import type {Clock} from '../ports/clock.js';
+import type {Hasher} from '../ports/hasher.js';
+import type {Peers} from '../ports/peers.js';
+import {EventKind, type Timeline} from '../ports/timeline.js';
+import {Ownership} from '../routing/ownership.js';
+import type {Router} from '../routing/router.js';
+
+const PULL_MS = 3_000;
+/** Longest time to wait for the owners' answers, in milliseconds. */
+const TOUCH_MS = 2_000;
+const POLL_MS = 50;
+
+/** What joining is made from. */
+export interface FleetJoiningOptions {
+  readonly members: MemberList;
+  readonly log: ChangeLog;
+  readonly detector: FailureDetector;
+  readonly router: Router;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly hasher: Hasher;
+  readonly timeline: Timeline;
+  /** Takes changes that a peer had. */
+  learn(changes: readonly Omit<Change, 'index'>[]): void;
+}
+
+/** What a daemon fetches from its peers, at its start and later. */
+export class FleetJoining {
+  private readonly pulling = new Set<string>();
+  private rejoining = false;
+
+  private constructor(private readonly options: FleetJoiningOptions) {}
+
+  /** Creates joining that has not begun. */
+  static create(options: FleetJoiningOptions): FleetJoining {
+    return new FleetJoining(options);
+  }
+
+  /** Fetches what is not staged here of a peer's log. */
+  async pullChanges(peer: Member, epoch: number, top: number): Promise<void> {
+    if (this.pulling.has(peer.id)) {
+      return;
+    }
+    this.pulling.add(peer.id);
+    const {clock, peers} = this.options;
+    const seen = this.options.log.seen(peer.id);
+    const after = seen.epoch === epoch ? seen.top : 0;
+    const pulled = await peers.pullChanges(
+      peer.address,
+      epoch,
+      after,
+      clock.now() + PULL_MS,
+    );
+    this.pulling.delete(peer.id);
+    pulled.map(list => {
+      this.options.learn(list.changes);
+      this.options.log.markSeen(peer.id, list.epoch, Math.max(list.top, 0));
+      this.options.detector.probeNow(peer.id);
+      return top;
+    });
+  }
+
+  /** Asks an unknown sender of a probe who it is. */
+  async meet(id: string, address: string): Promise<void> {
+    if (this.pulling.has(id)) {
+      return;
+    }
+    this.pulling.add(id);
+    await this.learnFrom(address);
+    this.pulling.delete(id);
+  }
+
+  /** Learns members and flow counts from a peer. */
+  async learnFrom(address: string): Promise<void> {
+    const {clock, peers} = this.options;
+    const learned = await peers.pullMembers(address, clock.now() + PULL_MS);
+    learned.map(message => {
+      message.members.forEach(update =>
+        this.options.members.mergeMember(memberOf(update)),
+      );
+      message.loads.forEach(load => this.options.router.ledger.receive(load));
+      return message;
+    });
+  }
+
+  /** Fetches the entries of the partitions that this daemon is to hold. */
+  private async fetchState(): Promise<void> {
+    const {clock, hasher, peers, timeline} = this.options;
+    const owners = this.options.members.owners();
+    const future = Ownership.create(
+      [...owners, this.options.members.self],
+      hasher,
+    );
+    const partitions = future.partitionsHeldBy(this.options.members.self.id);
+    const pulls = owners
+      .filter(({id}) => id !== this.options.members.self.id)
+      .map(owner =>
+        peers.pullState(owner.address, partitions, clock.now() + PULL_MS),
+      );
+    const results = await Promise.all(pulls);
+    results.forEach(result =>
+      result.map(entries => {
+        timeline.record(EventKind.STATE_PULLED, {entries: entries.length});
+        return this.options.router.applyExceptions(entries);
+      }),
+    );
+  }
+
+  /** Joins again after the others took this daemon for dead. */
+  async rejoin(): Promise<void> {
+    if (this.rejoining) {
+      return;
+    }
+    this.rejoining = true;
+    await this.becomeReady();
+    this.rejoining = false;
+  }
+
+  /**
+   * Owns partitions from now on. Packets of unknown flows go to the owners
+   * before and back, so both sides must be in touch first.
+   */
+  async becomeReady(): Promise<void> {
+    const deadline = this.options.clock.now() + TOUCH_MS;
+    this.options.detector.announce();
+    await this.waitUntil(
+      () => this.isInTouchWithOwners() || this.options.clock.now() > deadline,
+    );
+    await this.fetchState();
+    if (this.options.members.self.state === MemberState.JOINING) {
+      this.options.members.moveSelf(MemberState.READY);
+      this.options.detector.announce();
+    }
+  }
+
+  private isInTouchWithOwners(): boolean {
+    return this.options.members
+      .owners()
+      .every(
+        ({id}) =>
+          id === this.options.members.self.id ||
+          this.options.detector.isInTouch(id),
+      );
+  }
+
+  /** Resolves when a condition holds. */
+  async waitUntil(holds: () => boolean): Promise<void> {
+    while (!holds()) {
+      await this.pause(this.options.clock.now() + POLL_MS);
+    }
+  }
+
+  private pause(deadline: number): Promise<void> {
+    return new Promise(resolve => {
+      this.options.clock.callAt(deadline, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/recovery/packet-path.ts
@@ -0,0 +1,147 @@
+/** What one daemon does with each packet: route it, hand it on, pass it on. */
+import {
+  PacketHeader,
+  type Hint,
+  type PassedPacket,
+} from '../generated/packet.js';
+import type {MemberList} from '../membership/member-list.js';
+import type {BackendServers} from '../ports/backend-servers.js';
+import {Metric, type Counters} from '../ports/counters.js';
+import type {FabricPacket} from '../ports/fabric.js';
+import type {Peers} from '../ports/peers.js';
+import {
+  DecisionKind,
+  DropReason,
+  FROM_FABRIC,
+  type Arrival,
+  type Decision,
+  type Drop,
+  type Forward,
+  type Pass,
+} from '../routing/decision.js';
+import type {FlowKey} from '../routing/flow-key.js';
+import type {Router} from '../routing/router.js';
+
+/** What a packet path is made from. */
+export interface PacketPathOptions {
+  readonly members: MemberList;
+  readonly router: Router;
+  readonly peers: Peers;
+  readonly backends: BackendServers;
+  readonly counters: Counters;
+}
+
+/** Packets from the fabric and from peers; runs for every packet. */
+export class PacketPath {
+  private constructor(private readonly options: PacketPathOptions) {}
+
+  /** Creates the path. */
+  static create(options: PacketPathOptions): PacketPath {
+    return new PacketPath(options);
+  }
+
+  /** Handles a packet from the fabric. */
+  handle(packet: FabricPacket): void {
+    const decision = this.options.router.route(packet.packet, FROM_FABRIC);
+    this.carryOut(decision, packet, FROM_FABRIC, this.options.members.self.id);
+  }
+
+  /** Handles a packet that a peer passed on. */
+  onPassed(passed: PassedPacket): void {
+    const packet = decodePassed(passed);
+    if (packet === undefined) {
+      this.options.counters.add(Metric.PACKETS_MALFORMED);
+      return;
+    }
+    const {hops, decide, chain} = passed;
+    const arrival: Arrival = {hops, decide, chain};
+    const decision = this.options.router.route(packet, arrival);
+    const bytes = passed.packet;
+    this.options.counters.add(Metric.PACKETS_DECIDED_FOR_PEER);
+    this.carryOut(decision, {packet, bytes}, arrival, passed.entry);
+  }
+
+  private carryOut(
+    decision: Decision,
+    packet: FabricPacket,
+    arrival: Arrival,
+    entry: string,
+  ): void {
+    // This runs for every packet, where pattern matching costs too much.
+    if (decision.kind === DecisionKind.FORWARD) {
+      this.forward(decision, packet, entry);
+    } else if (decision.kind === DecisionKind.PASS) {
+      this.pass(decision, packet.bytes, arrival.hops + 1, entry);
+    } else {
+      this.drop(decision);
+    }
+  }
+
+  private forward(forward: Forward, packet: FabricPacket, entry: string): void {
+    this.options.counters.add(Metric.PACKETS_FORWARDED);
+    this.options.backends.send(forward.server, packet.bytes);
+    if (forward.remember !== undefined) {
+      this.sendHint(forward.server, forward.remember, packet.packet, entry);
+    }
+  }
+
+  private drop({reason}: Drop): void {
+    this.options.counters.add(
+      reason === DropReason.UNKNOWN_ADDRESS
+        ? Metric.PACKETS_UNKNOWN_ADDRESS
+        : Metric.PACKETS_UNROUTABLE,
+    );
+  }
+
+  private pass(
+    pass: Pass,
+    bytes: Uint8Array,
+    hops: number,
+    entry: string,
+  ): void {
+    this.options.counters.add(Metric.PACKETS_PASSED);
+    const address = this.options.members.get(pass.member)?.address;
+    if (address !== undefined) {
+      const {decide, chain} = pass;
+      const packet = Buffer.from(
+        bytes.buffer,
+        bytes.byteOffset,
+        bytes.byteLength,
+      );
+      this.options.peers.pass(address, {
+        hops,
+        decide,
+        entry,
+        packet,
+        chain: [...chain],
+      });
+    }
+  }
+
+  private sendHint(
+    server: string,
+    key: FlowKey,
+    packet: PacketHeader,
+    entry: string,
+  ): void {
+    const address = this.options.members.get(entry)?.address;
+    if (address !== undefined) {
+      const hint: Hint = {
+        keyHigh: key.high,
+        keyLow: key.low,
+        server,
+        address: packet.destinationAddress,
+        port: packet.destinationPort,
+      };
+      this.options.peers.hint(address, hint);
+    }
+  }
+}
+
+function decodePassed(passed: PassedPacket): PacketHeader | undefined {
+  try {
+    return PacketHeader.decode(passed.packet);
+  } catch {
+    return undefined;
+  }
+}
