--- a/bench/cluster.ts
+++ b/bench/cluster.ts
@@ -22,6 +22,8 @@
 const CLUSTERS = 20;
 const READY_MS = 30_000;
 const POLL_MS = 100;
+const DAEMONS_AT_ONCE = 8;
+const START_PAUSE_MS = 700;
 const ROOT = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '..');
 
 /** A service as a cluster sets it up. */
@@ -135,7 +137,7 @@
     await cluster.startBackends();
     cluster.writeConfiguration();
     await cluster.apply('bench', cluster.configuration());
-    Array.from({length: options.daemons}).forEach(() => cluster.startDaemon());
+    await cluster.startDaemons(options.daemons);
     await cluster.waitReady();
     await cluster.startCallers();
     return cluster;
@@ -146,6 +148,20 @@
     return this.addresses.store;
   }
 
+  /** Starts daemons, a few at a time: one machine stands in for many. */
+  private async startDaemons(count: number): Promise<void> {
+    await Array.from({length: count}).reduce<Promise<void>>(
+      async (earlier, _, index) => {
+        await earlier;
+        this.startDaemon();
+        if (index % DAEMONS_AT_ONCE === DAEMONS_AT_ONCE - 1) {
+          await pause(START_PAUSE_MS);
+        }
+      },
+      Promise.resolve(),
+    );
+  }
+
   /** Settings of the command line, for `weldyard --config`. */
   get toolSettings(): string {
     return path.join(this.folder, 'weldyard.ini');
--- a/bench/experiments/membership.ts
+++ b/bench/experiments/membership.ts
@@ -1,6 +1,7 @@
 /** Cost and speed of membership by number of daemons. */
 import {XxhashHasher} from '../../src/adapters/xxhash-hasher.js';
 import {MemberState} from '../../src/membership/member.js';
+import {MESH_LIMIT} from '../../src/membership/timing.js';
 import {MemoryFleet} from '../../standins/memory-fleet.js';
 import {Cluster, pause} from '../cluster.js';
 import {fitLine, round} from '../measures.js';
@@ -42,8 +43,11 @@
       sizes.push(await runSize(context, daemons));
     }, Promise.resolve());
     const falseSuspicions = await countFalseSuspicions(context.seed);
+    // Above the mesh limit each daemon probes a constant number of others.
     const slope = fitLine(
-      sizes.map(({daemons, bytesPerSecond}) => [daemons, bytesPerSecond]),
+      sizes
+        .filter(({daemons}) => daemons > MESH_LIMIT)
+        .map(({daemons, bytesPerSecond}) => [daemons, bytesPerSecond]),
     );
     const atEight = sizes[0].bytesPerSecond;
     return {
--- a/src/recovery/fleet-joining.ts
+++ b/src/recovery/fleet-joining.ts
@@ -15,6 +15,8 @@
 /** Longest time to wait for the owners' answers, in milliseconds. */
 const TOUCH_MS = 2_000;
 const POLL_MS = 50;
+/** Peers that a joining daemon asks for the members. */
+const TEACHERS = 5;
 
 /** What joining is made from. */
 export interface FleetJoiningOptions {
@@ -76,8 +78,24 @@
     this.pulling.delete(id);
   }
 
-  /** Learns members and flow counts from a peer. */
-  async learnFrom(address: string): Promise<void> {
+  /** Learns from a few peers; when none of them answers, from all. */
+  async learnFromSome(addresses: readonly string[]): Promise<void> {
+    const {hasher, members} = this.options;
+    const seed = hasher.hashText(members.self.id, 0);
+    const rank = (address: string) => hasher.hashText(address, seed);
+    const ranked = [...addresses].sort((a, b) => rank(a) - rank(b));
+    const some = ranked.slice(0, TEACHERS);
+    const answered = await Promise.all(
+      some.map(address => this.learnFrom(address)),
+    );
+    if (!answered.includes(true)) {
+      const rest = ranked.slice(TEACHERS);
+      await Promise.all(rest.map(address => this.learnFrom(address)));
+    }
+  }
+
+  /** Learns members and flow counts from a peer; false without an answer. */
+  async learnFrom(address: string): Promise<boolean> {
     const {clock, peers} = this.options;
     const learned = await peers.pullMembers(address, clock.now() + PULL_MS);
     learned.map(message => {
@@ -87,6 +105,7 @@
       message.loads.forEach(load => this.options.router.ledger.receive(load));
       return message;
     });
+    return learned.isOk();
   }
 
   /** Fetches the entries of the partitions that this daemon is to hold. */
--- a/src/recovery/flow-coordinator.ts
+++ b/src/recovery/flow-coordinator.ts
@@ -271,7 +271,7 @@
       this.detector.probeNow(member.id);
     }
     if (member.state >= MemberState.DEAD) {
-      this.router.forgetPredecessor(member.id);
+      this.router.predecessors.forget(member.id);
     }
     const ownedBefore = before !== undefined && ownsPartitions(before);
     if (ownedBefore !== ownsPartitions(member)) {
@@ -289,7 +289,7 @@
       .forEach(partition => {
         const backup = this.ownership.backupOf(partition);
         if (backup !== undefined) {
-          this.router.usePredecessors(partition, [backup], deadline);
+          this.router.predecessors.use(partition, [backup], deadline);
         }
       });
   }
@@ -310,7 +310,7 @@
     plan.transfers.forEach(transfer => this.exchange.transfer(transfer));
     this.exchange.resendRecent(before);
     plan.adoptions.forEach(({partition, predecessors}) =>
-      this.router.usePredecessors(
+      this.router.predecessors.use(
         partition,
         predecessors,
         clock.now() + PREDECESSOR_MS,
--- a/src/routing/ownership.ts
+++ b/src/routing/ownership.ts
@@ -27,9 +27,13 @@
   /** Computes the ownership among members; none means no owners. */
   static create(members: readonly Candidacy[], hasher: Hasher): Ownership {
     const partitions = members.length === 0 ? 0 : PARTITION_COUNT;
+    const scored = members.map(member => ({
+      member,
+      scores: scoresOf(member.id, hasher),
+    }));
     return new Ownership(
       Array.from({length: partitions}, (_, partition) =>
-        holdersOf(partition, members, hasher),
+        holdersOf(partition, scored),
       ),
     );
   }
@@ -60,22 +64,61 @@
   }
 }
 
+/** A member with its score for each partition. */
+interface ScoredMember {
+  readonly member: Candidacy;
+  readonly scores: Uint32Array;
+}
+
+/** Scores by member id; a member's scores never change. */
+const knownScores = new WeakMap<Hasher, Map<string, Uint32Array>>();
+/** Members whose scores are kept; ids of replaced daemons pile up. */
+const MAXIMUM_KNOWN = 10_000;
+
 /**
  * The backup is the best member of another failure domain than the owner's.
  * It need not be the next owner: state is moved when the owner changes.
  */
 function holdersOf(
   partition: number,
-  members: readonly Candidacy[],
-  hasher: Hasher,
+  members: readonly ScoredMember[],
 ): PartitionHolders {
-  const ranked = members
-    .map(member => ({member, score: hasher.hashText(member.id, partition)}))
-    .sort((a, b) => b.score - a.score || (a.member.id < b.member.id ? -1 : 1))
-    .map(({member}) => member);
-  const [owner, ...others] = ranked;
-  const elsewhere = others.find(
-    member => member.failureDomain !== owner.failureDomain,
+  const owner = bestOf(partition, members);
+  const domain = owner?.member.failureDomain;
+  const elsewhere = members.filter(
+    ({member}) => member.failureDomain !== domain,
   );
-  return {owner: owner.id, backup: (elsewhere ?? others[0])?.id};
+  const others = members.filter(scored => scored !== owner);
+  const backup = bestOf(partition, elsewhere) ?? bestOf(partition, others);
+  return {owner: owner?.member.id ?? '', backup: backup?.member.id};
+}
+
+/** The member with the highest score; of equals the one with the lower id. */
+function bestOf(
+  partition: number,
+  members: readonly ScoredMember[],
+): ScoredMember | undefined {
+  return members.reduce<ScoredMember | undefined>((best, next) => {
+    const lead =
+      best === undefined ? 1 : next.scores[partition] - best.scores[partition];
+    const wins =
+      lead > 0 ||
+      (lead === 0 && best !== undefined && next.member.id < best.member.id);
+    return wins ? next : best;
+  }, undefined);
+}
+
+function scoresOf(id: string, hasher: Hasher): Uint32Array {
+  const known = knownScores.get(hasher) ?? new Map<string, Uint32Array>();
+  knownScores.set(hasher, known);
+  const scores =
+    known.get(id) ??
+    Uint32Array.from({length: PARTITION_COUNT}, (_, partition) =>
+      hasher.hashText(id, partition),
+    );
+  if (known.size >= MAXIMUM_KNOWN) {
+    known.clear();
+  }
+  known.set(id, scores);
+  return scores;
 }
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -28,6 +28,7 @@
 import {LoadLedger} from './load-ledger.js';
 import {Ownership} from './ownership.js';
 import {LightestPlacement, type Placement} from './placement.js';
+import {Predecessors} from './predecessors.js';
 import {
   upToRevision,
   type RoutedAddress,
@@ -42,9 +43,6 @@
 /** Hops after which a backup takes its owner to be unreachable for all. */
 const HOPS_BEFORE_BACKUP = 2;
 
-/** Earlier holders asked, at the most. */
-const MAXIMUM_PREDECESSORS = 3;
-
 /** Seconds that a peer's answer is used before the owner is asked again. */
 const CACHE_SECONDS = 30;
 /** Seconds that a closed flow's server is kept for late packets. */
@@ -98,13 +96,6 @@
   readonly exception: FlowException;
 }
 
-/** A previous holder that is asked until a partition's state has arrived. */
-interface Predecessor {
-  readonly member: string;
-  /** Monotonic milliseconds. */
-  readonly deadline: number;
-}
-
 /** Routes packets; one instance a daemon. */
 export class Router {
   readonly flows: FlowTable;
@@ -113,8 +104,8 @@
   private readonly keys: FlowKeys;
   private readonly builder: TableBuilder;
   private readonly placement: Placement;
-  /** Earlier holders by partition, the latest first. */
-  private readonly predecessors = new Map<number, Predecessor[]>();
+  /** Earlier holders of partitions that this daemon took over. */
+  readonly predecessors: Predecessors;
   private tables = new Map<number, AddressTable>();
   /** Tables of what is active, which flows are opened by. */
   private activeTables = new Map<number, AddressTable>();
@@ -128,6 +119,7 @@
   private constructor(private readonly options: RouterOptions) {
     this.flows = FlowTable.create(options.maximumEntries);
     this.ledger = LoadLedger.create(options.run, options.hasher);
+    this.predecessors = Predecessors.create(options.clock);
     this.keys = FlowKeys.create(options.hasher);
     this.builder = TableBuilder.create(options.hasher, this.directory);
     this.placement = options.placement ?? LightestPlacement.create();
@@ -194,31 +186,6 @@
     this.view = view;
   }
 
-  /** Asks earlier holders for unknown flows of a partition until a deadline. */
-  usePredecessors(
-    partition: number,
-    members: readonly string[],
-    deadline: number,
-  ): void {
-    const known = this.predecessors.get(partition) ?? [];
-    const others = known.filter(({member}) => !members.includes(member));
-    const latest = members.map(member => ({member, deadline}));
-    this.predecessors.set(
-      partition,
-      [...latest, ...others].slice(0, MAXIMUM_PREDECESSORS),
-    );
-  }
-
-  /** Stops asking a member that is gone. */
-  forgetPredecessor(gone: string): void {
-    this.predecessors.forEach((known, partition) =>
-      this.predecessors.set(
-        partition,
-        known.filter(({member}) => member !== gone),
-      ),
-    );
-  }
-
   /** Decides what is done with a packet. */
   route(packet: PacketHeader, arrival: Arrival): Decision {
     const table = this.tables.get(
@@ -405,7 +372,7 @@
     }
     const partition = partitionOf(key);
     if (owner === this.options.self && this.view.isInTouch(owner)) {
-      const earlier = this.predecessorsOf(partition);
+      const earlier = this.predecessors.of(partition);
       // The question comes back: what nobody knows is decided here.
       return this.passAlong(
         key,
@@ -454,19 +421,6 @@
       : {kind: DecisionKind.PASS, member, decide: true, chain: rest};
   }
 
-  private predecessorsOf(partition: number): string[] {
-    const known = this.predecessors.get(partition);
-    if (known === undefined) {
-      return [];
-    }
-    const now = this.options.clock.now();
-    const current = known.filter(({deadline}) => deadline > now);
-    if (current.length === 0) {
-      this.predecessors.delete(partition);
-    }
-    return current.map(({member}) => member);
-  }
-
   /** Whether this daemon's own entry says where the flow is. */
   private isPlacedHere(key: FlowKey): boolean {
     const place = this.flows.find(key);
