--- a/bench/cluster.ts
+++ b/bench/cluster.ts
@@ -21,6 +21,8 @@
 const PORTS_A_CLUSTER = 1_000;
 const CLUSTERS = 20;
 const READY_MS = 30_000;
+/** More time for each daemon, since one machine starts them all. */
+const READY_EACH_MS = 500;
 const POLL_MS = 100;
 const DAEMONS_AT_ONCE = 8;
 const START_PAUSE_MS = 700;
@@ -258,7 +260,7 @@
 
   /** Waits for a condition, or throws after half a minute. */
   async waitUntil(what: string, holds: () => Promise<boolean>): Promise<void> {
-    const deadline = Date.now() + READY_MS;
+    const deadline = Date.now() + READY_MS + this.daemons.size * READY_EACH_MS;
     while (!(await holds())) {
       if (Date.now() > deadline) {
         throw new Error(`waited in vain until ${what}; logs in ${this.folder}`);
@@ -377,8 +379,9 @@
     return [...this.keptEvents, ...this.ownEvents];
   }
 
-  /** Ends every process. */
+  /** Ends every process; the time line is kept. */
   async close(): Promise<void> {
+    await this.keepEvents();
     this.processes.killAll();
     this.platform.close();
     this.knobs.forEach(knobs => knobs.close());
--- a/src/membership/timing.ts
+++ b/src/membership/timing.ts
@@ -4,7 +4,7 @@
 export const PROBE_INTERVAL_MS = 500;
 
 /** Members up to which each daemon probes every other one. */
-export const MESH_LIMIT = 12;
+export const MESH_LIMIT = 16;
 
 /** Probes in a row that must fail before a member is suspected. */
 export const MISSES_BEFORE_SUSPICION = 3;
