The naive router's tables are built only when the naive policy asks for them

Cause: read again, every daemon rebuilt the tables of the naive router twice a second, though only the policy 'naive' uses them; at 3,000 addresses one build took 0.8 s. Two arguments were passed on and never used, and two kinds of entry were written as numbers.

Change: tables are built for that policy alone; the arguments are gone; the kinds are named.

The processor share of docs/CAPACITY.md was measured before this change and was not measured again.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -38,6 +38,7 @@
 import {EventKind} from '../ports/timeline.js';
 import {FlowCoordinator} from '../recovery/flow-coordinator.js';
 import {DecisionKind} from '../routing/decision.js';
+import {EntryKind} from '../routing/flow-table.js';
 import {NewestTableRouter} from '../routing/newest-table-router.js';
 import type {RoutingRevision} from '../routing/routed-address.js';
 import {StateScope} from '../routing/router.js';
@@ -322,7 +323,10 @@
     const {knowledge, members} = this.coordinator;
     const owners = members.owners().map(({id}) => id);
     this.pools.useServers(knowledge.marks, owners);
-    this.naiveRouter.stage(knowledge.staged, knowledge.marks);
+    // Building its tables costs more than all else here at rest.
+    if (this.settings.routing.policy === 'naive') {
+      this.naiveRouter.stage(knowledge.staged, knowledge.marks);
+    }
   }
 
   private rangeOwner(range: number): string | undefined {
@@ -367,8 +371,8 @@
       revision: knowledge.active,
       stagedRevision: knowledge.staged.revision,
       members: members.owners().length,
-      exceptions: router.flows.sizeOf(1),
-      cached: router.flows.sizeOf(2),
+      exceptions: router.flows.sizeOf(EntryKind.HELD),
+      cached: router.flows.sizeOf(EntryKind.CACHED),
       countersJson: JSON.stringify({
         ...this.counters.read(),
         'ranges.held': this.ranges.heldCount,
--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -53,7 +53,7 @@
 /** What the detector asks of its owner. */
 export interface DetectorHooks {
   /** The peer's log of changes holds something that is not staged here. */
-  onBehind(peer: Member, epoch: number, top: number): void;
+  onBehind(peer: Member, epoch: number): void;
   /** The peer may have confirmed something. */
   onConfirmed(): void;
   /** A member that is not in the list sent a probe. */
@@ -490,7 +490,7 @@
     if (probe.knowledge === log.digest) {
       log.markSeen(known.id, probe.logEpoch, probe.logTop);
     } else {
-      hooks.onBehind(known, probe.logEpoch, probe.logTop);
+      hooks.onBehind(known, probe.logEpoch);
     }
   }
 
--- a/src/recovery/fleet-joining.ts
+++ b/src/recovery/fleet-joining.ts
@@ -45,7 +45,7 @@
   }
 
   /** Fetches what is not staged here of a peer's log. */
-  async pullChanges(peer: Member, epoch: number, top: number): Promise<void> {
+  async pullChanges(peer: Member, epoch: number): Promise<void> {
     if (this.pulling.has(peer.id)) {
       return;
     }
@@ -62,9 +62,9 @@
     this.pulling.delete(peer.id);
     pulled.map(list => {
       this.options.learn(list.changes);
-      this.options.log.markSeen(peer.id, list.epoch, Math.max(list.top, 0));
+      this.options.log.markSeen(peer.id, list.epoch, list.top);
       this.options.detector.probeNow(peer.id);
-      return top;
+      return list;
     });
   }
 
--- a/src/recovery/flow-coordinator.ts
+++ b/src/recovery/flow-coordinator.ts
@@ -108,8 +108,7 @@
       peers,
       clock,
       hooks: {
-        onBehind: (peer, epoch, top) =>
-          void this.joining.pullChanges(peer, epoch, top),
+        onBehind: (peer, epoch) => void this.joining.pullChanges(peer, epoch),
         onConfirmed: () => this.activate(),
         onStranger: (id, address) => void this.joining.meet(id, address),
         onDeclaredDead: () => void this.joining.rejoin(),
