Whole path, thin: packets with cookies, shared catalog, one store client

Cause: weldyard has to run on the users' own platform. A flow's server travels in its packets there, so a daemon needs no flow state to route; it needs routes and servers, which it reads from the store or pulls from a peer.

--- a/bench/experiments/binding.ts
+++ b/bench/experiments/binding.ts
@@ -17,7 +17,7 @@
 import {ResultAsync, errAsync} from 'neverthrow';
 import {FakeClock} from '../../standins/fake-clock.js';
 import {MemoryCounters} from '../../standins/memory-fleet.js';
-import {Random} from '../../standins/random.js';
+import {Random} from '../../src/routing/random.js';
 import {imbalanceOf, round} from '../measures.js';
 import type {Experiment} from './experiment.js';
 
--- a/bench/experiments/imbalance.ts
+++ b/bench/experiments/imbalance.ts
@@ -13,7 +13,7 @@
 } from '../../src/routing/routed-address.js';
 import {MarkState} from '../../src/routing/server-marks.js';
 import {MemoryFleet, packetOf} from '../../standins/memory-fleet.js';
-import {Random} from '../../standins/random.js';
+import {Random} from '../../src/routing/random.js';
 import {imbalanceOf, type Imbalance} from '../measures.js';
 import {
   brokenPromises,
--- /dev/null
+++ b/src/catalog/catalog-messages.ts
@@ -0,0 +1,132 @@
+/** Catalog records as messages between daemons, and back. */
+import type {
+  CatalogUpdate,
+  RouteEntry,
+  RouteList,
+  ServerEntry,
+  ServerList,
+} from '../generated/catalog.js';
+import {destinationKey} from '../routing/flow-key.js';
+import type {Catalog, KnownRoute} from './catalog.js';
+import {ServerState, type CatalogServer} from './records.js';
+
+/** Ages above this are sent as this: one hour, in milliseconds. */
+const OLDEST_AGE_MS = 3_600_000;
+
+/** Milliseconds since `at`, as it is sent. */
+export function ageOf(at: number, now: number): number {
+  return Math.round(Math.min(OLDEST_AGE_MS, Math.max(0, now - at)));
+}
+
+/** What a daemon with these versions lacks. */
+export function updateFor(
+  catalog: Catalog,
+  routeVersion: number,
+  serverDigest: number,
+  now: number,
+): CatalogUpdate {
+  const {stamp} = catalog;
+  return {
+    routes:
+      stamp.routeVersion > routeVersion ? encodeRoutes(catalog, now) : undefined,
+    servers:
+      stamp.serverRevision > 0 && stamp.serverDigest !== serverDigest
+        ? encodeServers(catalog, now)
+        : undefined,
+  };
+}
+
+/** Takes a peer's answer; the ages in it count back from `now`. */
+export function applyUpdate(
+  catalog: Catalog,
+  update: CatalogUpdate,
+  now: number,
+): void {
+  if (update.routes !== undefined) {
+    applyRoutes(catalog, update.routes, now);
+  }
+  if (update.servers !== undefined) {
+    const {revision, ageMs, servers} = update.servers;
+    catalog.takeServers(
+      {revision, servers: servers.map(entry => decodeServer(entry, now))},
+      now - ageMs,
+    );
+  }
+}
+
+function applyRoutes(catalog: Catalog, list: RouteList, now: number): void {
+  const routes = list.routes.map(({address, port, shares}) => ({
+    address,
+    port,
+    shares,
+  }));
+  const earlier = new Map(
+    list.routes.map(({address, port, earlierServices}) => [
+      destinationKey(address, port),
+      earlierServices,
+    ]),
+  );
+  catalog.takeRoutes(
+    {version: list.version, routes},
+    now - list.ageMs,
+    earlier,
+  );
+}
+
+function encodeRoutes(catalog: Catalog, now: number): RouteList {
+  const {routeVersion, routesConfirmedAt} = catalog.stamp;
+  return {
+    version: routeVersion,
+    ageMs: ageOf(routesConfirmedAt, now),
+    routes: catalog.allRoutes().map(encodeRoute),
+  };
+}
+
+function encodeRoute(route: KnownRoute): RouteEntry {
+  const {address, port, shares, allowedServices} = route;
+  return {
+    address,
+    port,
+    shares: shares.map(({service, weight}) => ({service, weight})),
+    earlierServices: [...allowedServices],
+  };
+}
+
+function encodeServers(catalog: Catalog, now: number): ServerList {
+  const {serverRevision, serversConfirmedAt} = catalog.stamp;
+  return {
+    revision: serverRevision,
+    ageMs: ageOf(serversConfirmedAt, now),
+    servers: catalog.allServers().map(server => encodeServer(server, now)),
+  };
+}
+
+function encodeServer(server: CatalogServer, now: number): ServerEntry {
+  const {id, service, address, port, failureDomain} = server;
+  return {
+    id,
+    service,
+    address,
+    port,
+    failureDomain,
+    slots: server.slots,
+    draining: server.state === ServerState.DRAINING,
+    coldMs: ageOf(now, server.coldUntil),
+    createdRevision: server.createdRevision,
+  };
+}
+
+function decodeServer(entry: ServerEntry, now: number): CatalogServer {
+  const {id, service, address, port, failureDomain} = entry;
+  return {
+    id,
+    service,
+    address,
+    port,
+    failureDomain,
+    slots: entry.slots,
+    state: entry.draining ? ServerState.DRAINING : ServerState.READY,
+    coldUntil: now + entry.coldMs,
+    createdRevision: entry.createdRevision,
+  };
+}
--- /dev/null
+++ b/src/catalog/departures.ts
@@ -0,0 +1,112 @@
+/**
+ * Backend servers that left the list. An entry may lapse although its server
+ * lives, while the store is away; so a departed server is taken to be gone only
+ * when the list was read without it for a while without a gap.
+ */
+import type {CatalogServer} from './records.js';
+
+/**
+ * Time in which the entry of a living server is back once the store is:
+ * 2 s by the platform's word, and some time for the reads themselves.
+ */
+export const LAPSE_GRACE_MS = 2_600;
+
+/** Time between two reads above which the store may have been away: three reads missed. */
+export const OUTAGE_GAP_MS = 2_600;
+
+/** A server that is not in the newest list. */
+interface Departure {
+  readonly server: CatalogServer;
+  /** Monotonic milliseconds since when reads without a gap have missed it. */
+  missingSince: number;
+  /** It may have lapsed in an outage: new flows are still sent to it. */
+  readonly mayHaveLapsed: boolean;
+  /** Its end is certain. */
+  gone: boolean;
+  /** Monotonic milliseconds at which it may be forgotten. */
+  readonly forgetAt: number;
+}
+
+/** The departed servers of one daemon. */
+export class Departures {
+  private readonly departures = new Map<string, Departure>();
+  private confirmedAt = -Infinity;
+  /** Reads have had no gap since then; monotonic milliseconds. */
+  private steadySince = -Infinity;
+
+  private constructor(
+    /** Time for which a flow may live, in milliseconds. */
+    private readonly flowLifetimeMs: number,
+  ) {}
+
+  /** Creates an empty record. */
+  static create(flowLifetimeMs: number): Departures {
+    return new Departures(flowLifetimeMs);
+  }
+
+  /** Notes that the list was read at a time, whatever it said. */
+  confirm(at: number): void {
+    if (at <= this.confirmedAt) {
+      return;
+    }
+    if (at - this.confirmedAt > OUTAGE_GAP_MS) {
+      this.steadySince = at;
+      this.departures.forEach(departure => {
+        departure.missingSince = Math.max(departure.missingSince, at);
+      });
+    }
+    this.confirmedAt = at;
+    this.departures.forEach(departure => {
+      departure.gone ||= at - departure.missingSince >= LAPSE_GRACE_MS;
+    });
+    this.forgetOld(at);
+  }
+
+  /** Records a server that the list read at `at` does not hold. */
+  add(server: CatalogServer, at: number): void {
+    const drained = server.state === 'draining';
+    this.departures.set(server.id, {
+      server,
+      missingSince: at,
+      mayHaveLapsed: !drained && at - this.steadySince < LAPSE_GRACE_MS,
+      gone: false,
+      forgetAt: at + this.flowLifetimeMs,
+    });
+  }
+
+  /** Takes a server back that is in the list again. */
+  remove(id: string): void {
+    this.departures.delete(id);
+  }
+
+  /** Marks servers whose address a later server has taken: they have ended. */
+  supersede(address: number, port: number): void {
+    this.departures.forEach(departure => {
+      const {server} = departure;
+      departure.gone ||= server.address === address && server.port === port;
+    });
+  }
+
+  /** Whether the server's end is certain. */
+  isGone(id: string): boolean {
+    return this.departures.get(id)?.gone === true;
+  }
+
+  /** Servers that may live on although their entries lapsed. */
+  lapsed(): CatalogServer[] {
+    return [...this.departures.values()]
+      .filter(({gone, mayHaveLapsed}) => mayHaveLapsed && !gone)
+      .map(({server}) => server);
+  }
+
+  /** All that are remembered. */
+  all(): CatalogServer[] {
+    return [...this.departures.values()].map(({server}) => server);
+  }
+
+  private forgetOld(at: number): void {
+    [...this.departures]
+      .filter(([, {forgetAt}]) => forgetAt <= at)
+      .forEach(([id]) => this.departures.delete(id));
+  }
+}
--- /dev/null
+++ b/src/catalog/records.ts
@@ -0,0 +1,62 @@
+/** What all daemons have to know alike: routes and backend servers. */
+
+/** What a backend server says of itself. */
+export const ServerState = {READY: 'ready', DRAINING: 'draining'} as const;
+/** One of the states in `ServerState`. */
+export type ServerState = (typeof ServerState)[keyof typeof ServerState];
+
+/** One run of a backend server. A restarted server has another id. */
+export interface CatalogServer {
+  readonly id: string;
+  readonly service: string;
+  /** IPv4 address as an unsigned number. */
+  readonly address: number;
+  readonly port: number;
+  readonly failureDomain: string;
+  /** Requests that it works on at once. */
+  readonly slots: number;
+  readonly state: ServerState;
+  /** Monotonic milliseconds until which it is slow from its start. */
+  readonly coldUntil: number;
+  /** Revision of the store at which it first appeared. */
+  readonly createdRevision: number;
+}
+
+/** All backend servers as of one revision of the store. */
+export interface ServerListing {
+  readonly revision: number;
+  readonly servers: readonly CatalogServer[];
+}
+
+/** A service and its share of a route's new flows. */
+export interface ServiceShare {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** An address that callers open flows to. */
+export interface CatalogRoute {
+  readonly address: number;
+  readonly port: number;
+  readonly shares: readonly ServiceShare[];
+}
+
+/** One version of the operators' routes. */
+export interface RouteListing {
+  readonly version: number;
+  readonly routes: readonly CatalogRoute[];
+}
+
+/** What tells two states of the catalog apart. */
+export interface CatalogStamp {
+  /** Version of the routes; 0: none yet. */
+  readonly routeVersion: number;
+  /** Monotonic milliseconds at which a read last confirmed the routes. */
+  readonly routesConfirmedAt: number;
+  /** Revision of the newest list of servers; 0: none yet. */
+  readonly serverRevision: number;
+  /** Hash over all servers and their states. */
+  readonly serverDigest: number;
+  /** Monotonic milliseconds at which a read last confirmed the servers. */
+  readonly serversConfirmedAt: number;
+}
--- /dev/null
+++ b/src/catalog/spread.ts
@@ -0,0 +1,240 @@
+/**
+ * Keeps the catalogs of a fleet alike. Each daemon sends beats with the versions
+ * that it holds and the age of its newest read; a daemon that hears of a newer
+ * version pulls it from the sender. In a small fleet beats go to everyone, in a
+ * large one to a few by chance, and news is passed on at once.
+ */
+import type {Beat, PeerAge, ServerWork} from '../generated/catalog.js';
+import type {PeerAges, PeerDaemon} from '../membership/peer-ages.js';
+import type {Clock, Timer} from '../ports/clock.js';
+import type {FleetChannel} from '../ports/fleet-channel.js';
+import type {Log} from '../ports/log.js';
+import type {Random} from '../routing/random.js';
+import {ageOf, applyUpdate, updateFor} from './catalog-messages.js';
+import type {Catalog} from './catalog.js';
+
+/** Time between two beats, in milliseconds; a fifth of it is by chance. */
+const BEAT_MS = 500;
+/** Fleet size up to which a beat goes to everyone. */
+const MESH_LIMIT = 16;
+/** Receivers of a beat in a larger fleet. */
+const FAN_OUT = 4;
+/** Rounds between two beats to a peer that has fallen silent. */
+const ROUNDS_BETWEEN_GREETINGS = 4;
+/** Deadline of one pull, in milliseconds. */
+const PULL_LIMIT_MS = 900;
+/** Pulls under way at once; a second one covers for a peer that died. */
+const MAXIMUM_PULLS = 2;
+/** How much younger a read must be for its news to be passed on, in milliseconds. */
+const RELAY_GAIN_MS = 300;
+
+/** What the spread is made from. */
+export interface SpreadOptions {
+  readonly catalog: Catalog;
+  readonly peers: PeerAges;
+  readonly channel: FleetChannel;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly random: Random;
+  /** Addresses of daemons that may run, as IPv4 numbers. */
+  readonly seeds: readonly number[];
+  /** This daemon as its peers are to know it, now. */
+  self(): PeerAge;
+  /** Unfinished work to tell. */
+  workToTell(): ServerWork[];
+  onWork(sender: number, work: readonly ServerWork[]): void;
+}
+
+/** The exchange of one daemon with its peers. */
+export class CatalogSpread {
+  private timer: Timer | undefined;
+  private round = 0;
+  private readonly pulls = new Set<number>();
+  /** The first answer is asked for whole: it tells of former versions too. */
+  private hasPulled = false;
+
+  private constructor(private readonly options: SpreadOptions) {}
+
+  /** Creates a spread that does nothing until started. */
+  static create(options: SpreadOptions): CatalogSpread {
+    return new CatalogSpread(options);
+  }
+
+  /** Starts to serve peers and to send beats; the returned function stops. */
+  async start(): Promise<() => void> {
+    const {channel, catalog, clock} = this.options;
+    await channel.serve({
+      onBeat: (sender, beat) => this.onBeat(sender, beat),
+      onPull: (routeVersion, serverDigest) =>
+        updateFor(catalog, routeVersion, serverDigest, clock.now()),
+    });
+    this.tick();
+    return () => {
+      this.timer?.cancel();
+      void channel.close();
+    };
+  }
+
+  /** Sends a beat now, because there is news. */
+  announce(): void {
+    this.sendTo(this.receivers(), false);
+  }
+
+  private tick(): void {
+    const {clock, random} = this.options;
+    const pause = BEAT_MS * (0.9 + random.next() / 5);
+    this.timer = clock.callAt(clock.now() + pause, () => this.tick());
+    this.announce();
+    if (this.round % ROUNDS_BETWEEN_GREETINGS === 0) {
+      this.greetSilent();
+    }
+    this.round += 1;
+  }
+
+  /** Beats to those that may be back, so that cuts heal. */
+  private greetSilent(): void {
+    const {peers, seeds, clock, random} = this.options;
+    const now = clock.now();
+    const live = new Set(peers.live(now).map(({address}) => address));
+    const silentSeeds = seeds.filter(address => !live.has(address));
+    const silentPeer = random.pick(peers.silent(now));
+    const greeted = new Set(silentSeeds);
+    if (silentPeer !== undefined) {
+      greeted.add(silentPeer.address);
+    }
+    const beat = this.beat(true);
+    greeted.forEach(address => this.send(address, beat));
+  }
+
+  private receivers(): PeerDaemon[] {
+    const {peers, clock} = this.options;
+    const live = peers.live(clock.now());
+    return live.length <= MESH_LIMIT ? live : peers.sample(live, FAN_OUT);
+  }
+
+  private sendTo(receivers: readonly PeerDaemon[], hello: boolean): void {
+    if (receivers.length > 0) {
+      const beat = this.beat(hello);
+      receivers.forEach(({address}) => this.send(address, beat));
+    }
+  }
+
+  private send(address: number, beat: Beat): void {
+    if (address !== this.options.self().address) {
+      this.options.channel.beat(address, beat);
+    }
+  }
+
+  private beat(hello: boolean): Beat {
+    const {catalog, peers, clock} = this.options;
+    const now = clock.now();
+    const {stamp} = catalog;
+    return {
+      sender: this.options.self(),
+      peers: peers.told(now),
+      routeVersion: stamp.routeVersion,
+      routesAgeMs: ageOf(stamp.routesConfirmedAt, now),
+      serverRevision: stamp.serverRevision,
+      serverDigest: stamp.serverDigest,
+      serversAgeMs: ageOf(stamp.serversConfirmedAt, now),
+      work: this.options.workToTell(),
+      hello,
+    };
+  }
+
+  private onBeat(sender: number, beat: Beat): void {
+    const {clock, peers} = this.options;
+    const now = clock.now();
+    if (beat.sender !== undefined) {
+      this.noteSender(sender, beat.sender, beat.hello, now);
+    }
+    beat.peers.forEach(told => peers.merge(told, now));
+    this.options.onWork(sender, beat.work);
+    const gain = this.confirm(beat, now);
+    if (this.isNewer(beat)) {
+      void this.pull(sender);
+    } else if (gain > RELAY_GAIN_MS) {
+      this.relay();
+    }
+  }
+
+  private noteSender(
+    sender: number,
+    told: PeerAge,
+    hello: boolean,
+    now: number,
+  ): void {
+    const isNew = this.options.peers.merge(
+      {...told, address: sender, ageMs: 0},
+      now,
+    );
+    if (isNew) {
+      this.options.log.info('peer-found', {
+        peer: sender,
+        failureDomain: told.failureDomain,
+      });
+    }
+    if (isNew || hello) {
+      this.send(sender, this.beat(false));
+    }
+  }
+
+  /** Takes the ages of a beat; returns how much younger the reads became. */
+  private confirm(beat: Beat, now: number): number {
+    const {catalog} = this.options;
+    const before = catalog.stamp;
+    catalog.confirmRoutes(beat.routeVersion, now - beat.routesAgeMs);
+    catalog.confirmServers(
+      beat.serverRevision,
+      beat.serverDigest,
+      now - beat.serversAgeMs,
+    );
+    const after = catalog.stamp;
+    return Math.max(
+      after.routesConfirmedAt - before.routesConfirmedAt,
+      after.serversConfirmedAt - before.serversConfirmedAt,
+    );
+  }
+
+  private isNewer(beat: Beat): boolean {
+    const {stamp} = this.options.catalog;
+    const newerRoutes = beat.routeVersion > stamp.routeVersion;
+    const newerServers =
+      beat.serverDigest !== stamp.serverDigest &&
+      beat.serverRevision > stamp.serverRevision;
+    const firstPull = !this.hasPulled && beat.routeVersion > 0;
+    return newerRoutes || newerServers || firstPull;
+  }
+
+  private async pull(sender: number): Promise<void> {
+    const {catalog, channel, clock, log} = this.options;
+    if (this.pulls.has(sender) || this.pulls.size >= MAXIMUM_PULLS) {
+      return;
+    }
+    this.pulls.add(sender);
+    const {stamp} = catalog;
+    const update = await channel.pull(
+      sender,
+      this.hasPulled ? stamp.routeVersion : 0,
+      stamp.serverDigest,
+      clock.now() + PULL_LIMIT_MS,
+    );
+    this.pulls.delete(sender);
+    update.match(
+      taken => {
+        this.hasPulled = true;
+        applyUpdate(catalog, taken, clock.now());
+        this.relay();
+      },
+      failure => log.warn('pull-failed', {peer: sender, cause: failure.message}),
+    );
+  }
+
+  /** Passes news on, where beats do not reach everyone by themselves. */
+  private relay(): void {
+    const {peers, clock} = this.options;
+    if (peers.live(clock.now()).length > MESH_LIMIT) {
+      this.announce();
+    }
+  }
+}
--- a/src/configuration/editor.spec.ts
+++ b/src/configuration/editor.spec.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check';
 import {FakeClock} from '../../standins/fake-clock.js';
 import {MemoryStore} from '../../standins/memory-store.js';
-import {Random} from '../../standins/random.js';
+import {Random} from '../routing/random.js';
 import {decodeDocument, type ConfigurationDocument} from './document.js';
 import {Editor, type EditFailure} from './editor.js';
 import type {Edit} from './revision.js';
--- /dev/null
+++ b/src/entry/entry-daemon.ts
@@ -0,0 +1,244 @@
+/**
+ * The daemon for a fabric with cookies: takes packets, places new flows, sends
+ * all others where their cookies say, and shares a catalog with its peers.
+ */
+import {CatalogReader} from '../catalog/reader.js';
+import {rankAmong} from '../catalog/reader-rank.js';
+import {CatalogSpread} from '../catalog/spread.js';
+import {Catalog, type CatalogChange} from '../catalog/catalog.js';
+import type {PeerAge} from '../generated/catalog.js';
+import {PeerAges} from '../membership/peer-ages.js';
+import type {CatalogSource} from '../ports/catalog-source.js';
+import type {Clock} from '../ports/clock.js';
+import type {CookieFabric, CookiePacket} from '../ports/cookie-fabric.js';
+import {Metric, type Counters} from '../ports/counters.js';
+import type {FleetChannel} from '../ports/fleet-channel.js';
+import type {Hasher} from '../ports/hasher.js';
+import type {Log, LogFields} from '../ports/log.js';
+import {
+  CookieRouter,
+  RefusalReason,
+  Verdict,
+  type CookieRefusal,
+} from '../routing/cookie-router.js';
+import {formatIpv4} from '../routing/ipv4.js';
+import {LightestPlacement} from '../routing/placement.js';
+import type {Random} from '../routing/random.js';
+import {ServerWorkLedger} from '../routing/server-work.js';
+import type {EntrySettings} from './settings.js';
+
+/**
+ * Time for which a stopping daemon goes on forwarding: the routers ask twice a
+ * second and leave after two refusals, and a further second is to spare.
+ */
+const FORWARD_AFTER_STOP_MS = 2_200;
+
+/** What a daemon is made from. */
+export interface EntryDaemonOptions {
+  readonly settings: EntrySettings;
+  readonly fabric: CookieFabric;
+  readonly channel: FleetChannel;
+  readonly source: CatalogSource;
+  readonly clock: Clock;
+  readonly hasher: Hasher;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly log: Log;
+}
+
+/** One running daemon. */
+export class EntryDaemon {
+  readonly catalog: Catalog;
+  private readonly peers: PeerAges;
+  private readonly work: ServerWorkLedger;
+  private readonly router: CookieRouter;
+  private readonly spread: CatalogSpread;
+  private readonly reader: CatalogReader;
+  private readonly stops: Array<() => void> = [];
+  private isLeaving = false;
+  private wasReady = false;
+  private hasForwarded = false;
+
+  private constructor(private readonly options: EntryDaemonOptions) {
+    const {settings, clock, hasher, random, log} = options;
+    const {flowLifetimeMs, address} = settings;
+    this.catalog = Catalog.create({hasher, flowLifetimeMs});
+    this.peers = PeerAges.create(address, random);
+    this.work = ServerWorkLedger.create(hasher);
+    this.router = CookieRouter.create({
+      catalog: this.catalog,
+      work: this.work,
+      placement: LightestPlacement.create(),
+      clock,
+      random,
+      onSilent: ({id}) => log.warn('server-silent', {server: id}),
+    });
+    this.spread = this.createSpread();
+    this.reader = CatalogReader.create({
+      catalog: this.catalog,
+      source: options.source,
+      clock,
+      log,
+      random,
+      rank: () => this.rank(),
+      onRead: () => this.spread.announce(),
+    });
+  }
+
+  /** Creates a daemon that does nothing until it is run. */
+  static create(options: EntryDaemonOptions): EntryDaemon {
+    return new EntryDaemon(options);
+  }
+
+  /** Starts all tasks. */
+  async run(): Promise<void> {
+    const {fabric, log, settings} = this.options;
+    this.catalog.onChange(change => this.noteChange(change));
+    fabric.onPacket(packet => this.handle(packet));
+    this.stops.push(this.reader.start());
+    this.stops.push(await this.spread.start());
+    log.info('started', {
+      address: formatIpv4(settings.address),
+      failureDomain: settings.failureDomain,
+      seeds: settings.seeds.length,
+    });
+  }
+
+  /** Whether the fabric is to hand packets to this daemon. */
+  isReady(): boolean {
+    const ready = this.catalog.isComplete && !this.isLeaving;
+    if (ready !== this.wasReady) {
+      this.wasReady = ready;
+      this.options.log.warn(ready ? 'ready' : 'not-ready', this.versions());
+    }
+    return ready;
+  }
+
+  /** Stops taking new work, forwards until the fabric has left, and ends. */
+  async stop(): Promise<void> {
+    const {clock, log} = this.options;
+    this.isLeaving = true;
+    log.warn('stopping', this.versions());
+    this.spread.announce();
+    const deadline = clock.now() + FORWARD_AFTER_STOP_MS;
+    await new Promise<void>(resolve => {
+      clock.callAt(deadline, resolve);
+    });
+    this.stops.forEach(stop => stop());
+    this.options.fabric.close();
+    log.warn('stopped', {flows: this.router.flows.size});
+  }
+
+  private createSpread(): CatalogSpread {
+    const {settings, channel, clock, log, random} = this.options;
+    return CatalogSpread.create({
+      catalog: this.catalog,
+      peers: this.peers,
+      channel,
+      clock,
+      log,
+      random,
+      seeds: settings.seeds,
+      self: () => this.self(),
+      workToTell: () => this.work.toTell(clock.now()),
+      onWork: (sender, work) => this.work.receive(sender, work, clock.now()),
+    });
+  }
+
+  private self(): PeerAge {
+    const {address, failureDomain, capacity} = this.options.settings;
+    const leaving = this.isLeaving;
+    return {address, failureDomain, capacity, leaving, ageMs: 0};
+  }
+
+  private rank(): number {
+    const {clock, hasher} = this.options;
+    return rankAmong(this.self(), this.peers.live(clock.now()), hasher);
+  }
+
+  private handle(packet: CookiePacket): void {
+    const {fabric, counters} = this.options;
+    const decision = this.router.decide(packet);
+    if (decision.verdict !== Verdict.FORWARD) {
+      this.refuse(packet, decision);
+      return;
+    }
+    const {server, cookie} = decision;
+    counters.add(Metric.PACKETS_FORWARDED);
+    fabric.forward(packet, server, cookie);
+    this.noteFirst();
+    if (packet.opens) {
+      this.options.log.info('flow-placed', {
+        ...flowOf(packet),
+        server: server.id,
+        copy: packet.openCopy,
+        unfinished: this.work.unfinished(server.id, this.options.clock.now()),
+        ...this.versions(),
+      });
+    }
+  }
+
+  private refuse(packet: CookiePacket, refusal: CookieRefusal): void {
+    const {fabric, counters, log} = this.options;
+    counters.add(
+      refusal.reason === RefusalReason.NO_ROUTE
+        ? Metric.PACKETS_UNKNOWN_ADDRESS
+        : Metric.PACKETS_UNROUTABLE,
+    );
+    if (refusal.verdict === Verdict.RESET) {
+      fabric.reset(packet);
+    }
+    log.info('packet-refused', {
+      ...flowOf(packet),
+      reason: refusal.reason,
+      outcome: refusal.verdict,
+      cookie: packet.cookie,
+      ...this.versions(),
+    });
+  }
+
+  private noteFirst(): void {
+    if (!this.hasForwarded) {
+      this.hasForwarded = true;
+      const cpu = process.cpuUsage();
+      this.options.log.info('first-packet', {
+        processorMs: Math.round((cpu.user + cpu.system) / 1_000),
+        sinceStartMs: Math.round(this.options.clock.now()),
+      });
+    }
+  }
+
+  private noteChange(change: CatalogChange): void {
+    const {log} = this.options;
+    if (change.routeVersion !== undefined) {
+      log.warn('routes-taken', this.versions());
+    }
+    change.changed.forEach(({id, service, state}) =>
+      log.info('server-state', {server: id, service, state}),
+    );
+    change.departed.forEach(({id, service}) =>
+      log.info('server-departed', {server: id, service}),
+    );
+    if (change.departed.length > 0) {
+      this.work.retain(this.catalog.allServers().map(({id}) => id));
+    }
+  }
+
+  /** Versions and ages of what decisions are made from. */
+  private versions(): LogFields {
+    const now = this.options.clock.now();
+    const {stamp} = this.catalog;
+    return {
+      routeVersion: stamp.routeVersion,
+      routesAgeMs: Math.round(now - stamp.routesConfirmedAt),
+      serverRevision: stamp.serverRevision,
+      serversAgeMs: Math.round(now - stamp.serversConfirmedAt),
+    };
+  }
+}
+
+function flowOf(packet: CookiePacket): LogFields {
+  const source = `${formatIpv4(packet.sourceAddress)}:${packet.sourcePort}`;
+  const destination = `${formatIpv4(packet.destinationAddress)}:${packet.destinationPort}`;
+  return {source, destination};
+}
--- /dev/null
+++ b/src/entry/settings.ts
@@ -0,0 +1,29 @@
+/** Settings of a daemon that serves a fabric with cookies. */
+
+/** What one process is told at its start. */
+export interface EntrySettings {
+  readonly name: string;
+  /** IPv4 address of the instance as an unsigned number. */
+  readonly address: number;
+  readonly failureDomain: string;
+  /** "ip:port" at which the fabric hands packets over. */
+  readonly fabricListen: string;
+  /** "ip:port" at which the fabric asks whether the daemon is ready. */
+  readonly readinessListen: string;
+  /** Port of beats (UDP) and pulls (TCP), the same at all daemons. */
+  readonly peerPort: number;
+  /** Port at which counters are read. */
+  readonly metricsPort: number;
+  /** Addresses of daemons that may run, as IPv4 numbers. */
+  readonly seeds: readonly number[];
+  /** "ip:port" of the store. */
+  readonly storeAddress: string;
+  /** Processor share in thousandths of a core. */
+  readonly capacity: number;
+  /** Longest time that a planned stop may take, in milliseconds. */
+  readonly stopLimitMs: number;
+  /** Longest life of a flow, in milliseconds. */
+  readonly flowLifetimeMs: number;
+  /** Whether packets carry cookies; weldyard's other fabric has a daemon of its own. */
+  readonly isCookieFabric: boolean;
+}
--- /dev/null
+++ b/src/ports/fleet-channel.ts
@@ -0,0 +1,29 @@
+/** The port through which daemons that share a catalog talk to each other. */
+import type {ResultAsync} from 'neverthrow';
+import type {Beat, CatalogUpdate} from '../generated/catalog.js';
+import type {PeerUnavailable} from './peers.js';
+
+/** What a daemon does with what its peers send. */
+export interface FleetHandlers {
+  /** Takes a beat of the daemon at `sender` (IPv4 address as a number). */
+  onBeat(sender: number, beat: Beat): void;
+  /** Answers a daemon that holds these versions. */
+  onPull(routeVersion: number, serverDigest: number): CatalogUpdate;
+}
+
+/** Beats and pulls between daemons, which are named by IPv4 address. */
+export abstract class FleetChannel {
+  /** Installs the handlers and starts to receive. */
+  abstract serve(handlers: FleetHandlers): Promise<void>;
+  /** Sends a beat, which may be lost. */
+  abstract beat(address: number, beat: Beat): void;
+  /** Fetches what a peer holds beyond these versions. */
+  abstract pull(
+    address: number,
+    routeVersion: number,
+    serverDigest: number,
+    deadline: number,
+  ): ResultAsync<CatalogUpdate, PeerUnavailable>;
+  /** Stops receiving and closes all connections. */
+  abstract close(): Promise<void>;
+}
--- /dev/null
+++ b/src/routing/cookie-router.ts
@@ -0,0 +1,224 @@
+/**
+ * Routing over a fabric whose packets carry cookies. Opening packets are placed;
+ * every later packet goes to the server that its cookie names, so any daemon
+ * decides alike without memory of the flow.
+ */
+import type {Catalog, KnownRoute} from '../catalog/catalog.js';
+import type {CatalogServer} from '../catalog/records.js';
+import type {Clock} from '../ports/clock.js';
+import type {CookiePacket} from '../ports/cookie-fabric.js';
+import {NO_COOKIE} from '../catalog/cookie-index.js';
+import type {Placement} from './placement.js';
+import type {Random} from './random.js';
+import {SeenFlows} from './seen-flows.js';
+import type {ServerWorkLedger} from './server-work.js';
+
+/**
+ * Age of the catalog up to which a daemon refuses what the catalog does not
+ * hold; with an older one it stays silent, since a route may have been added.
+ */
+const CURRENT_MS = 4_000;
+
+/** Share of its slots that a server has while it is slow from its start. */
+const COLD_SHARE = 0.6;
+
+/** What becomes of a packet. */
+export const Verdict = {
+  FORWARD: 'forward',
+  RESET: 'reset',
+  DROP: 'drop',
+} as const;
+/** One of the values of `Verdict`. */
+export type Verdict = (typeof Verdict)[keyof typeof Verdict];
+
+/** Why a packet is not forwarded. */
+export const RefusalReason = {
+  NO_ROUTE: 'no-route',
+  NO_SERVER: 'no-server',
+  /** The flow's server has ended for certain. */
+  SERVER_GONE: 'server-gone',
+  /** No server of the route has the packet's cookie. */
+  UNKNOWN_COOKIE: 'unknown-cookie',
+  /** A caller gave up a flow that has no route. */
+  NOTHING_TO_RESET: 'nothing-to-reset',
+} as const;
+/** One of the reasons in `RefusalReason`. */
+export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
+
+/** Send the packet to a server. */
+export interface CookieForward {
+  readonly verdict: typeof Verdict.FORWARD;
+  readonly server: CatalogServer;
+  readonly cookie: number;
+}
+
+/** Refuse the packet, aloud or silently. */
+export interface CookieRefusal {
+  readonly verdict: typeof Verdict.RESET | typeof Verdict.DROP;
+  readonly reason: RefusalReason;
+}
+
+/** What to do with a packet. */
+export type CookieDecision = CookieForward | CookieRefusal;
+
+/** What a router is made from. */
+export interface CookieRouterOptions {
+  readonly catalog: Catalog;
+  readonly work: ServerWorkLedger;
+  readonly placement: Placement;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Told when an opening had to be sent again and its server is now avoided. */
+  onSilent(server: CatalogServer): void;
+}
+
+/** Decides on packets that carry cookies. */
+export class CookieRouter {
+  readonly flows: SeenFlows;
+
+  private constructor(private readonly options: CookieRouterOptions) {
+    this.flows = SeenFlows.create(options.work);
+  }
+
+  /** Creates a router without any flow. */
+  static create(options: CookieRouterOptions): CookieRouter {
+    return new CookieRouter(options);
+  }
+
+  /** Decides on one packet. */
+  decide(packet: CookiePacket): CookieDecision {
+    const {catalog} = this.options;
+    const route = catalog.routeOf(
+      packet.destinationAddress,
+      packet.destinationPort,
+    );
+    if (route === undefined) {
+      return this.refuse(packet, RefusalReason.NO_ROUTE);
+    }
+    return packet.opens ? this.open(packet, route) : this.follow(packet, route);
+  }
+
+  /** Sends a later packet where its cookie says. */
+  private follow(packet: CookiePacket, route: KnownRoute): CookieDecision {
+    const {catalog, clock} = this.options;
+    const named = catalog.serverOf(packet.cookie, route);
+    if (packet.cookie === NO_COOKIE || named === undefined) {
+      return {verdict: Verdict.DROP, reason: RefusalReason.UNKNOWN_COOKIE};
+    }
+    const server = this.flows.notePacket(packet, named, clock.now());
+    if (catalog.isGone(server)) {
+      return this.refuse(packet, RefusalReason.SERVER_GONE);
+    }
+    return {verdict: Verdict.FORWARD, server, cookie: packet.cookie};
+  }
+
+  /** Places an opening packet; a copy of one goes to another server. */
+  private open(packet: CookiePacket, route: KnownRoute): CookieDecision {
+    const {catalog, clock} = this.options;
+    const now = clock.now();
+    const known = this.flows.find(packet);
+    if (known?.isOpen === true && packet.openCopy > 0) {
+      // A copy that was overtaken by the flow's later packets.
+      const {server} = known;
+      const cookie = catalog.cookieOf(server) ?? NO_COOKIE;
+      return {verdict: Verdict.FORWARD, server, cookie};
+    }
+    const tried = known === undefined || known.isOpen ? [] : known.tried;
+    this.noteUnanswered(tried, now);
+    const server = this.place(route, tried, now);
+    const cookie = server === undefined ? undefined : catalog.cookieOf(server);
+    if (server === undefined || cookie === undefined) {
+      return this.refuse(packet, RefusalReason.NO_SERVER);
+    }
+    this.flows.noteOpening(packet, server, now);
+    return {verdict: Verdict.FORWARD, server, cookie};
+  }
+
+  private noteUnanswered(tried: readonly CatalogServer[], now: number): void {
+    const last = tried[tried.length - 1];
+    if (last === undefined) {
+      return;
+    }
+    if (this.options.work.noteUnanswered(last.id, now)) {
+      this.options.onSilent(last);
+    }
+  }
+
+  private place(
+    route: KnownRoute,
+    tried: readonly CatalogServer[],
+    now: number,
+  ): CatalogServer | undefined {
+    const {catalog, placement, random} = this.options;
+    const servers = catalog
+      .openServers(this.chooseService(route))
+      .filter(server => catalog.cookieOf(server) !== undefined);
+    const usable = this.usableOf(servers, tried, now);
+    if (usable.length === 0) {
+      return undefined;
+    }
+    const candidates = usable.map((server, index) =>
+      this.candidateOf(server, index, now),
+    );
+    return usable[placement.choose(candidates, random.below(usable.length))];
+  }
+
+  /**
+   * Servers not tried yet that answer; if there is none, those that answer, and
+   * if none does, all of them: silence may be the network's.
+   */
+  private usableOf(
+    servers: readonly CatalogServer[],
+    tried: readonly CatalogServer[],
+    now: number,
+  ): readonly CatalogServer[] {
+    const {work} = this.options;
+    const answering = servers.filter(({id}) => !work.isSilent(id, now));
+    const untried = answering.filter(
+      ({id}) => !tried.some(server => server.id === id),
+    );
+    const choices = [untried, answering, servers];
+    return choices.find(({length}) => length > 0) ?? [];
+  }
+
+  private candidateOf(server: CatalogServer, index: number, now: number) {
+    const {work} = this.options;
+    const warm = server.coldUntil <= now ? 1 : COLD_SHARE;
+    return {
+      server: index,
+      weight: server.slots * warm,
+      flows: work.unfinished(server.id, now),
+      ownFlows: work.ownUnfinished(server.id),
+    };
+  }
+
+  /** One of the route's services, by their weights. */
+  private chooseService(route: KnownRoute): string {
+    const total = route.shares.reduce((sum, {weight}) => sum + weight, 0);
+    const point = this.options.random.next() * total;
+    const reached = route.shares.map((_share, index) =>
+      route.shares
+        .slice(0, index + 1)
+        .reduce((sum, {weight}) => sum + weight, 0),
+    );
+    const index = reached.findIndex(end => point < end);
+    return route.shares[Math.max(0, index)]?.service ?? '';
+  }
+
+  /** Refuses aloud only what the catalog surely does not hold. */
+  private refuse(packet: CookiePacket, reason: RefusalReason): CookieRefusal {
+    if (packet.resets) {
+      return {verdict: Verdict.DROP, reason: RefusalReason.NOTHING_TO_RESET};
+    }
+    return this.isCurrent()
+      ? {verdict: Verdict.RESET, reason}
+      : {verdict: Verdict.DROP, reason};
+  }
+
+  private isCurrent(): boolean {
+    const {catalog, clock} = this.options;
+    const oldest = clock.now() - CURRENT_MS;
+    const {routesConfirmedAt, serversConfirmedAt} = catalog.stamp;
+    return routesConfirmedAt >= oldest && serversConfirmedAt >= oldest;
+  }
+}
--- a/standins/random.ts
+++ b/src/routing/random.ts
@@ -1,4 +1,4 @@
-/** Seeded random numbers for stand-ins and experiments. */
+/** Seeded random numbers. */
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 
--- /dev/null
+++ b/src/routing/seen-flows.ts
@@ -0,0 +1,181 @@
+/**
+ * Flows that pass one daemon. The record is for load and for copies of opening
+ * packets; where a flow's server is stands in its packets, so nothing is lost
+ * when a daemon starts without it.
+ */
+import type {CatalogServer} from '../catalog/records.js';
+import type {CookiePacket} from '../ports/cookie-fabric.js';
+import type {ServerWorkLedger} from './server-work.js';
+
+/** Flows kept at the most; 300 bytes each. */
+const MAXIMUM_FLOWS = 60_000;
+/** Time after which an unfinished opening is forgotten: three attempts end in 1.4 s. */
+const OPENING_LIFETIME_MS = 2_500;
+/** Time without a packet after which a flow is forgotten, in milliseconds. */
+const IDLE_LIFETIME_MS = 20_000;
+/** Time between two sweeps, in milliseconds. */
+const SWEEP_MS = 1_000;
+/** Half of the range of positions: what is further ahead lies behind. */
+const HALF_RANGE = 2 ** 31;
+
+/** One flow that passed. */
+export interface SeenFlow {
+  /** Where its packets go; while it opens, where the last copy went. */
+  server: CatalogServer;
+  /** Servers that its opening packets went to; empty when none was seen. */
+  readonly tried: CatalogServer[];
+  /** Whether the caller has heard from the server. */
+  isOpen: boolean;
+  /** Whether a request is under way. */
+  isBusy: boolean;
+  /** What the caller had acknowledged when it sent the request. */
+  acknowledgedBefore: number;
+  /** Monotonic milliseconds after which it is forgotten. */
+  forgetAt: number;
+}
+
+/** The flows that one daemon has seen of late. */
+export class SeenFlows {
+  private readonly flows = new Map<string, SeenFlow>();
+  private sweepAt = -Infinity;
+
+  private constructor(private readonly work: ServerWorkLedger) {}
+
+  /** Creates an empty record that counts into a ledger. */
+  static create(work: ServerWorkLedger): SeenFlows {
+    return new SeenFlows(work);
+  }
+
+  /** Flows on record. */
+  get size(): number {
+    return this.flows.size;
+  }
+
+  /** The record of a packet's flow. */
+  find(packet: CookiePacket): SeenFlow | undefined {
+    return this.flows.get(keyOf(packet));
+  }
+
+  /** Records where an opening packet or a copy of it was sent. */
+  noteOpening(packet: CookiePacket, server: CatalogServer, now: number): void {
+    this.sweep(now);
+    const known = this.find(packet);
+    const forgetAt = now + OPENING_LIFETIME_MS;
+    if (known !== undefined && !known.isOpen) {
+      known.tried.push(server);
+      known.server = server;
+      known.forgetAt = forgetAt;
+      return;
+    }
+    this.put(packet, {
+      server,
+      tried: [server],
+      isOpen: false,
+      isBusy: false,
+      acknowledgedBefore: 0,
+      forgetAt,
+    });
+  }
+
+  /**
+   * Records a later packet towards the server that its cookie names and returns
+   * the server it must go to. Copies of an opening may be answered by several
+   * servers, and the caller's cookie is the one that came last; so a flow whose
+   * opening was seen stays at the server that its first later packet named.
+   */
+  notePacket(
+    packet: CookiePacket,
+    named: CatalogServer,
+    now: number,
+  ): CatalogServer {
+    const flow = this.find(packet) ?? this.addOpen(packet, named, now);
+    if (!flow.isOpen) {
+      flow.isOpen = true;
+      flow.server = named;
+      this.work.noteAnswered(named.id);
+    }
+    flow.forgetAt = now + IDLE_LIFETIME_MS;
+    this.noteProgress(flow, packet);
+    if (packet.closes || packet.resets) {
+      this.end(packet, flow, now);
+    }
+    return flow.tried.length > 0 ? flow.server : named;
+  }
+
+  private addOpen(
+    packet: CookiePacket,
+    server: CatalogServer,
+    now: number,
+  ): SeenFlow {
+    const flow: SeenFlow = {
+      server,
+      tried: [],
+      isOpen: true,
+      isBusy: false,
+      acknowledgedBefore: packet.acknowledged,
+      forgetAt: now + IDLE_LIFETIME_MS,
+    };
+    if (!packet.closes && !packet.resets) {
+      this.put(packet, flow);
+    }
+    return flow;
+  }
+
+  /** A request is under way from its first data to the first new answer. */
+  private noteProgress(flow: SeenFlow, packet: CookiePacket): void {
+    if (packet.dataLength > 0 && !flow.isBusy) {
+      flow.isBusy = true;
+      flow.acknowledgedBefore = packet.acknowledged;
+      this.work.count(flow.server.id, 1);
+      return;
+    }
+    const ahead = (packet.acknowledged - flow.acknowledgedBefore) >>> 0;
+    if (flow.isBusy && ahead > 0 && ahead < HALF_RANGE) {
+      this.finish(flow);
+    }
+  }
+
+  private finish(flow: SeenFlow): void {
+    if (flow.isBusy) {
+      flow.isBusy = false;
+      this.work.count(flow.server.id, -1);
+    }
+  }
+
+  /** A closed flow may still send for a while, so its record lasts a little. */
+  private end(packet: CookiePacket, flow: SeenFlow, now: number): void {
+    this.finish(flow);
+    flow.forgetAt = now + OPENING_LIFETIME_MS;
+    if (flow.tried.length === 0) {
+      this.flows.delete(keyOf(packet));
+    }
+  }
+
+  private put(packet: CookiePacket, flow: SeenFlow): void {
+    const before = this.find(packet);
+    if (before !== undefined) {
+      this.finish(before);
+    }
+    if (before !== undefined || this.flows.size < MAXIMUM_FLOWS) {
+      this.flows.set(keyOf(packet), flow);
+    }
+  }
+
+  private sweep(now: number): void {
+    if (now < this.sweepAt) {
+      return;
+    }
+    this.sweepAt = now + SWEEP_MS;
+    this.flows.forEach((flow, key) => {
+      if (flow.forgetAt <= now) {
+        this.finish(flow);
+        this.flows.delete(key);
+      }
+    });
+  }
+}
+
+function keyOf(packet: CookiePacket): string {
+  const {sourceAddress, sourcePort, destinationAddress} = packet;
+  return `${sourceAddress * 65_536 + sourcePort}/${destinationAddress * 65_536 + packet.destinationPort}`;
+}
--- /dev/null
+++ b/src/routing/server-work.ts
@@ -0,0 +1,164 @@
+/**
+ * Unfinished requests at backend servers, as the packets of callers show them:
+ * this daemon's own counts and what its peers told of theirs. Also which servers
+ * answer: an opening packet that has to be sent again is a sign against one.
+ */
+import type {ServerWork} from '../generated/catalog.js';
+import type {Hasher} from '../ports/hasher.js';
+
+const SERVER_SEED = 17;
+/** Time for which what a peer told counts: three beats, in milliseconds. */
+const TOLD_LIFETIME_MS = 1_500;
+/** Unanswered openings in a row after which a server is taken to be silent. */
+const SILENT_AFTER = 2;
+/** Time for which a silent server gets no new flows, in milliseconds. */
+const SILENCE_MS = 1_500;
+/** Servers told of in one beat. */
+const TOLD_SERVERS = 40;
+
+/** What this daemon saw of one server. */
+interface ServerSight {
+  unfinished: number;
+  /** Openings sent again since one was last answered. */
+  unanswered: number;
+  /** Monotonic milliseconds until which it gets no new flows. */
+  avoidUntil: number;
+}
+
+/** What one peer told of one server. */
+interface ToldWork {
+  readonly unfinished: number;
+  readonly silent: boolean;
+}
+
+interface ToldVector {
+  readonly work: ReadonlyMap<number, ToldWork>;
+  /** Monotonic milliseconds after which it says nothing any more. */
+  readonly validUntil: number;
+}
+
+/** Work and silence of the servers that one daemon sends to. */
+export class ServerWorkLedger {
+  private readonly sights = new Map<number, ServerSight>();
+  private readonly told = new Map<number, ToldVector>();
+  private readonly hashes = new Map<string, number>();
+
+  private constructor(private readonly hasher: Hasher) {}
+
+  /** Creates an empty ledger. */
+  static create(hasher: Hasher): ServerWorkLedger {
+    return new ServerWorkLedger(hasher);
+  }
+
+  /** Counts a request begun (+1) or answered (-1) at a server. */
+  count(server: string, change: number): void {
+    const sight = this.sightOf(server);
+    sight.unfinished = Math.max(0, sight.unfinished + change);
+  }
+
+  /** Notes that a server answered an opening packet. */
+  noteAnswered(server: string): void {
+    const sight = this.sightOf(server);
+    sight.unanswered = 0;
+    sight.avoidUntil = -Infinity;
+  }
+
+  /** Notes that an opening had to be sent again; true if that makes it silent. */
+  noteUnanswered(server: string, now: number): boolean {
+    const sight = this.sightOf(server);
+    sight.unanswered += 1;
+    const silent = sight.unanswered >= SILENT_AFTER;
+    if (silent) {
+      sight.avoidUntil = now + SILENCE_MS;
+    }
+    return silent;
+  }
+
+  /** Unfinished requests at a server, over all daemons that told theirs. */
+  unfinished(server: string, now: number): number {
+    const hash = this.hashOf(server);
+    const told = [...this.told.values()]
+      .filter(({validUntil}) => validUntil > now)
+      .reduce((sum, {work}) => sum + (work.get(hash)?.unfinished ?? 0), 0);
+    return (this.sights.get(hash)?.unfinished ?? 0) + told;
+  }
+
+  /** Unfinished requests that this daemon sent. */
+  ownUnfinished(server: string): number {
+    return this.sights.get(this.hashOf(server))?.unfinished ?? 0;
+  }
+
+  /** Whether a server is taken to be silent, by this daemon or by a peer. */
+  isSilent(server: string, now: number): boolean {
+    const hash = this.hashOf(server);
+    const sight = this.sights.get(hash);
+    if (sight !== undefined && sight.avoidUntil > now) {
+      return true;
+    }
+    return [...this.told.values()].some(
+      ({work, validUntil}) =>
+        validUntil > now && work.get(hash)?.silent === true,
+    );
+  }
+
+  /** What to tell the peers. */
+  toTell(now: number): ServerWork[] {
+    return [...this.sights]
+      .filter(([, sight]) => sight.unfinished > 0 || sight.avoidUntil > now)
+      .slice(0, TOLD_SERVERS)
+      .map(([server, {unfinished, avoidUntil}]) => ({
+        server,
+        unfinished,
+        silent: avoidUntil > now,
+      }));
+  }
+
+  /** Takes what a peer told. */
+  receive(peer: number, work: readonly ServerWork[], now: number): void {
+    this.told.set(peer, {
+      work: new Map(work.map(entry => [entry.server, entry])),
+      validUntil: now + TOLD_LIFETIME_MS,
+    });
+    this.told.forEach(({validUntil}, address) => {
+      if (validUntil <= now) {
+        this.told.delete(address);
+      }
+    });
+  }
+
+  /** Drops what is known of servers other than these. */
+  retain(servers: readonly string[]): void {
+    const kept = new Set(servers.map(server => this.hashOf(server)));
+    this.sights.forEach((_sight, hash) => {
+      if (!kept.has(hash)) {
+        this.sights.delete(hash);
+      }
+    });
+    this.hashes.forEach((hash, id) => {
+      if (!kept.has(hash)) {
+        this.hashes.delete(id);
+      }
+    });
+  }
+
+  private sightOf(server: string): ServerSight {
+    const hash = this.hashOf(server);
+    const known = this.sights.get(hash);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = {unfinished: 0, unanswered: 0, avoidUntil: -Infinity};
+    this.sights.set(hash, created);
+    return created;
+  }
+
+  private hashOf(server: string): number {
+    const known = this.hashes.get(server);
+    if (known !== undefined) {
+      return known;
+    }
+    const hash = this.hasher.hashText(server, SERVER_SEED);
+    this.hashes.set(server, hash);
+    return hash;
+  }
+}
--- a/standins/backend-server.ts
+++ b/standins/backend-server.ts
@@ -16,7 +16,7 @@
 import {InstanceRole, InstanceState} from '../src/ports/instance-list.js';
 import {readClaim, writeClaim} from './flow-payload.js';
 import {startStandinServer, turnKnobs} from './knobs.js';
-import {Random} from './random.js';
+import {Random} from '../src/routing/random.js';
 
 const COLD_FACTOR = 3;
 const HEALTH_SAMPLES = 64;
--- a/standins/fabric.ts
+++ b/standins/fabric.ts
@@ -4,7 +4,7 @@
 import {SystemClock} from '../src/adapters/system-clock.js';
 import {bindUdp, sendUdp} from '../src/adapters/udp-socket.js';
 import {startStandinServer, turnKnobs} from './knobs.js';
-import {Random} from './random.js';
+import {Random} from '../src/routing/random.js';
 
 const POLL_MS = 200;
 const LONGEST_REORDER_MS = 20;
--- a/standins/flow-callers.ts
+++ b/standins/flow-callers.ts
@@ -6,7 +6,7 @@
 import {parseSocketAddress} from '../src/routing/ipv4.js';
 import {readClaim, writeClaim} from './flow-payload.js';
 import {startStandinServer} from './knobs.js';
-import {Random} from './random.js';
+import {Random} from '../src/routing/random.js';
 
 const STEP_MS = 20;
 /** Time between two packets of an open flow, unless ordered otherwise. */
--- a/standins/memory-fleet.ts
+++ b/standins/memory-fleet.ts
@@ -14,7 +14,7 @@
 import {writeClaim} from './flow-payload.js';
 import {MemoryBackends, type PacketListener} from './memory-backends.js';
 import {MemoryNetwork, MemoryPeers} from './memory-network.js';
-import {Random} from './random.js';
+import {Random} from '../src/routing/random.js';
 
 const FIRST_PORT = 7_000;
 
--- a/standins/memory-network.ts
+++ b/standins/memory-network.ts
@@ -16,7 +16,7 @@
 import type {CallerReply, CallerRequest} from '../src/generated/request.js';
 import {PeerUnavailable, Peers, type PeerHandlers} from '../src/ports/peers.js';
 import type {FakeClock} from './fake-clock.js';
-import type {Random} from './random.js';
+import type {Random} from '../src/routing/random.js';
 
 /** Faults of the network; they apply to datagrams and calls alike. */
 export interface NetworkFaults {
--- a/standins/memory-requests.ts
+++ b/standins/memory-requests.ts
@@ -24,7 +24,7 @@
 import {MemoryCounters, SilentTimeline} from './memory-fleet.js';
 import {MemoryNetwork, MemoryPeers} from './memory-network.js';
 import {MemoryStore} from './memory-store.js';
-import {Random} from './random.js';
+import {Random} from '../src/routing/random.js';
 
 const DAEMONS = 4;
 const SERVERS = ['10.1.0.1:80', '10.1.0.2:80', '10.1.0.3:80'];
--- a/standins/memory-store.ts
+++ b/standins/memory-store.ts
@@ -9,7 +9,7 @@
   type SwapOutcome,
 } from '../src/ports/store.js';
 import type {FakeClock} from './fake-clock.js';
-import type {Random} from './random.js';
+import type {Random} from '../src/routing/random.js';
 
 const DELAY_MS = 2;
 const POLL_MS = 100;
--- a/standins/request-callers.ts
+++ b/standins/request-callers.ts
@@ -12,7 +12,7 @@
 } from '../src/generated/request.js';
 import {answerTo} from './backend-server.js';
 import {startStandinServer} from './knobs.js';
-import {Random} from './random.js';
+import {Random} from '../src/routing/random.js';
 
 const STEP_MS = 5;
 const POLL_MS = 200;
--- a/standins/store.ts
+++ b/standins/store.ts
@@ -12,7 +12,7 @@
 } from '../src/generated/platform.js';
 import {MAXIMUM_VALUE_BYTES} from '../src/ports/store.js';
 import {startStandinServer, turnKnobs} from './knobs.js';
-import {Random} from './random.js';
+import {Random} from '../src/routing/random.js';
 
 interface StoredEntry {
   value: Buffer;
