One wait at the store covers routes and servers

Heartbeats that change nothing are no events (seen in the log: the store's revision stood at 34 after 20 s), so one wait for all keys replaces polling.

--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -113,6 +113,7 @@
     draining: server.state === ServerState.DRAINING,
     coldMs: ageOf(now, server.coldUntil),
     createdRevision: server.createdRevision,
+    revision: server.revision,
   };
 }
 
@@ -128,5 +129,6 @@
     state: entry.draining ? ServerState.DRAINING : ServerState.READY,
     coldUntil: now + entry.coldMs,
     createdRevision: entry.createdRevision,
+    revision: entry.revision,
   };
 }
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -7,6 +7,7 @@
 import {CookieIndex} from './cookie-index.js';
 import {Departures} from './departures.js';
 import type {
+  CatalogEvents,
   CatalogRoute,
   CatalogServer,
   CatalogStamp,
@@ -31,6 +32,13 @@
   readonly departed: readonly CatalogServer[];
 }
 
+/** What another daemon told of the servers that it holds. */
+export interface ToldServers {
+  readonly revision: number;
+  readonly digest: number;
+  readonly routeVersion: number;
+}
+
 /** Told of each change after it was taken. */
 export type CatalogListener = (change: CatalogChange) => void;
 
@@ -174,13 +182,48 @@
     }
   }
 
-  /** Notes that another daemon read the same servers at a time. */
-  confirmServers(revision: number, digest: number, at: number): void {
-    if (digest === this.serverDigest && this.serverRevision > 0) {
-      this.serverRevision = Math.max(this.serverRevision, revision);
-      this.noteServersConfirmed(at);
-      this.rebuildOpen();
+  /** Takes what the store reported since the revision that is held. */
+  takeEvents(events: CatalogEvents, confirmedAt: number): void {
+    const {written, removed, revision} = events;
+    if (events.routes !== undefined) {
+      this.takeRoutes(events.routes, confirmedAt);
     }
+    const servers = new Map(this.servers);
+    written
+      .filter(server => isLater(server, servers.get(server.id)))
+      .forEach(server => servers.set(server.id, server));
+    removed
+      .filter(entry => isLater(entry, servers.get(entry.id)))
+      .forEach(({id}) => servers.delete(id));
+    this.takeServers(
+      {
+        revision: Math.max(revision, this.serverRevision),
+        servers: [...servers.values()],
+      },
+      confirmedAt,
+    );
+  }
+
+  /** Notes that nothing was written up to a time. */
+  confirmAll(at: number): void {
+    this.routesConfirmedAt = Math.max(this.routesConfirmedAt, at);
+    this.noteServersConfirmed(at);
+    this.rebuildOpen();
+  }
+
+  /**
+   * Notes that another daemon, which holds the same servers, read them at a
+   * time. Its revision is taken only if its routes are held here as well.
+   */
+  confirmServers(told: ToldServers, at: number): void {
+    if (told.digest !== this.serverDigest || this.serverRevision === 0) {
+      return;
+    }
+    if (told.routeVersion <= this.routeVersion) {
+      this.serverRevision = Math.max(this.serverRevision, told.revision);
+    }
+    this.noteServersConfirmed(at);
+    this.rebuildOpen();
   }
 
   private noteServersConfirmed(at: number): void {
@@ -248,3 +291,10 @@
     this.listeners.forEach(listener => listener(change));
   }
 }
+
+function isLater(
+  next: {readonly revision: number},
+  known: CatalogServer | undefined,
+): boolean {
+  return known === undefined || next.revision > known.revision;
+}
--- a/src/catalog/reader-rank.ts
+++ b/src/catalog/reader-rank.ts
@@ -13,7 +13,7 @@
 /** What ranking needs of a daemon. */
 export type RankedDaemon = Pick<
   PeerDaemon,
-  'address' | 'failureDomain' | 'capacity' | 'leaving'
+  'address' | 'failureDomain' | 'capacity' | 'leaving' | 'outOfTouch'
 >;
 
 /**
@@ -31,8 +31,8 @@
     .map(({daemon}) => daemon);
   const [first, ...rest] = ordered;
   const second = rest.find(
-    ({failureDomain, leaving}) =>
-      failureDomain !== first.failureDomain && !leaving,
+    ({failureDomain, leaving, outOfTouch}) =>
+      failureDomain !== first.failureDomain && !leaving && !outOfTouch,
   );
   const ranked =
     second === undefined
@@ -41,10 +41,14 @@
   return ranked.findIndex(({address}) => address === self.address);
 }
 
-/** Sorts leaving daemons last, scarce ones behind ample ones, then by hash. */
+/**
+ * Sorts daemons that leave or do not reach the store last, scarce ones behind
+ * ample ones, then by hash.
+ */
 function orderOf(daemon: RankedDaemon, hasher: Hasher): number {
   const hash = hasher.hashText(String(daemon.address), RANK_SEED);
   const scarce = Math.min(daemon.capacity, AMPLE_CAPACITY) / AMPLE_CAPACITY;
-  const steps = Math.round((1 - scarce) * 4) + (daemon.leaving ? 8 : 0);
+  const unfit = daemon.leaving || daemon.outOfTouch;
+  const steps = Math.round((1 - scarce) * 4) + (unfit ? 8 : 0);
   return steps * 2 ** 32 + hash;
 }
--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -1,43 +1,46 @@
 /**
  * Reads routes and servers from the source when nobody else has of late.
  *
- * A daemon reads when its copy was confirmed longer ago than its rank allows.
- * Reads of others are told by beats and put its own off, so a fleet of any size
- * makes about as many reads as its first two daemons.
+ * The first two daemons wait for events at the source all the time. Another one
+ * reads when its copy was confirmed longer ago than its rank allows. Reads of
+ * others are told by beats and put its own off, so a fleet of any size makes
+ * about as many calls as two daemons, and one that hears of nobody reads alone.
  */
 import type {Result} from 'neverthrow';
-import type {
-  CatalogSource,
-  RouteReading,
-  SourceFailure,
+import {
+  SourceFailureKind,
+  type CatalogReading,
+  type CatalogSource,
+  type SourceFailure,
 } from '../ports/catalog-source.js';
 import type {Clock, Timer} from '../ports/clock.js';
 import type {Log} from '../ports/log.js';
 import type {Random} from '../routing/random.js';
 import type {Catalog} from './catalog.js';
+import type {CatalogEvents} from './records.js';
 
-/** Age at which the first daemon reads the servers again, in milliseconds. */
-const SERVER_READ_MS = 900;
-/** Age at which the second one does: two reads of the first failed. */
-const SECOND_SERVER_READ_MS = 1_900;
-/** Further wait for each rank behind, in milliseconds. */
-const WAIT_A_RANK_MS = 350;
-/** Longest wait for others, in milliseconds. */
-const LONGEST_WAIT_MS = 3_800;
-/** Ranks that wait for new routes at the source all the time. */
+/** Ranks that wait for events at the source all the time. */
 const WAITING_RANKS = 2;
-/** Age of the routes at which the third daemon reads them, in milliseconds. */
-const THIRD_ROUTE_READ_MS = 2_300;
 /**
- * Length of one wait for new routes, in milliseconds. It bounds the time that a
- * connection which lost its other end goes unnoticed.
+ * Length of one wait for events, in milliseconds. It bounds the time for which
+ * a connection that lost its other end goes unnoticed.
  */
-const ROUTE_WAIT_MS = 1_500;
+const EVENT_WAIT_MS = 1_500;
+/** Age of the copy at which the third daemon reads, in milliseconds. */
+const THIRD_READ_MS = 2_300;
+/** Further wait for each rank behind, in milliseconds. */
+const WAIT_A_RANK_MS = 300;
+/** Longest wait for others, in milliseconds; up to half as much is added by chance. */
+const LONGEST_WAIT_MS = 3_500;
 /** Deadline of a read over connecting, sending and answering, in milliseconds. */
 const READ_LIMIT_MS = 1_000;
 /** First pause after a failed read, in milliseconds; doubles up to the longest. */
-const RETRY_MS = 250;
-const LONGEST_RETRY_MS = 1_500;
+const RETRY_MS = 200;
+const LONGEST_RETRY_MS = 1_200;
+/** Pause while the operators have published nothing yet, in milliseconds. */
+const EMPTY_PAUSE_MS = 500;
+/** Time for which a daemon whose read failed ranks behind others, in milliseconds. */
+const OUT_OF_TOUCH_MS = 4_000;
 
 /** What a reader is made from. */
 export interface ReaderOptions {
@@ -52,12 +55,14 @@
   onRead(): void;
 }
 
-/** The reading tasks of one daemon. */
+/** The reading task of one daemon. */
 export class CatalogReader {
   private stopped = false;
-  private position = 0;
-  private lost = false;
-  private readonly timers = new Set<Timer>();
+  /** The next read takes everything, since events may have been missed. */
+  private needsWhole = true;
+  private failures = 0;
+  private outOfTouchUntil = -Infinity;
+  private timer: Timer | undefined;
 
   private constructor(private readonly options: ReaderOptions) {}
 
@@ -66,154 +71,145 @@
     return new CatalogReader(options);
   }
 
+  /** Whether the source did not answer this daemon of late. */
+  isOutOfTouch(): boolean {
+    return this.outOfTouchUntil > this.options.clock.now();
+  }
+
   /** Starts to read; the returned function stops it. */
   start(): () => void {
-    void this.readServers();
-    void this.readRoutes();
+    void this.readOn();
     return () => {
       this.stopped = true;
-      this.timers.forEach(timer => timer.cancel());
+      this.timer?.cancel();
       this.options.source.close();
     };
   }
 
-  /** Reads the servers for as long as the daemon runs. */
-  private async readServers(): Promise<void> {
-    const {catalog, source, clock} = this.options;
-    let failures = 0;
+  /** Reads for as long as the daemon runs. */
+  private async readOn(): Promise<void> {
     while (!this.stopped) {
-      await this.sleepUntil(() =>
-        catalog.stamp.serverRevision === 0
-          ? -Infinity
-          : catalog.stamp.serversConfirmedAt + this.serverWait(),
-      );
-      const sentAt = clock.now();
-      const listing = await source.readServers(sentAt + READ_LIMIT_MS);
-      failures = listing.isOk() ? 0 : failures + 1;
-      if (listing.isOk()) {
-        catalog.takeServers(listing.value, sentAt);
+      await this.sleepUntil(() => this.nextRead());
+      const failure = await this.readOnce();
+      if (failure === undefined) {
+        this.noteSuccess();
+      } else if (!this.stopped) {
+        await this.pauseAfter(failure);
       }
-      await this.finish('servers', listing, failures);
     }
   }
 
-  /** Reads the routes, or waits for new ones, for as long as the daemon runs. */
-  private async readRoutes(): Promise<void> {
-    const {clock} = this.options;
-    let failures = 0;
-    while (!this.stopped) {
-      await this.sleepUntil(() => this.nextRouteRead());
-      const sentAt = clock.now();
-      const reading = await this.readOrAwaitRoutes(sentAt);
-      failures = reading.isOk() ? 0 : failures + 1;
-      if (reading.isOk()) {
-        this.takeRoutes(reading.value, sentAt);
-      } else {
-        // The next read takes the whole, whatever was missed.
-        this.position = 0;
-      }
-      await this.finish('routes', reading, failures);
-    }
-  }
-
-  private readOrAwaitRoutes(
-    now: number,
-  ): Promise<Result<RouteReading, SourceFailure>> {
-    const {source, catalog} = this.options;
-    const whole = this.position === 0 || catalog.stamp.routeVersion === 0;
-    const reading = whole
-      ? source.readRoutes(now + READ_LIMIT_MS)
-      : source.awaitRoutes(this.position, now + ROUTE_WAIT_MS);
-    return Promise.resolve(reading);
-  }
-
-  /**
-   * A wait that ended without news confirms the routes as of its start, not of
-   * its end. Its position is kept, so that an event which it did not show is
-   * still ahead of the next wait.
-   */
-  private takeRoutes(reading: RouteReading, sentAt: number): void {
-    const {catalog} = this.options;
-    if (reading.listing !== undefined) {
-      catalog.takeRoutes(reading.listing, sentAt);
-      this.position = reading.position;
-      return;
+  /** When this daemon has to read, in monotonic milliseconds. */
+  private nextRead(): number {
+    const {catalog, random} = this.options;
+    const rank = this.options.rank();
+    if (!catalog.isComplete || rank < WAITING_RANKS) {
+      return -Infinity;
     }
-    catalog.confirmRoutes(catalog.stamp.routeVersion, sentAt);
-    this.position = this.position === 0 ? reading.position : this.position;
+    const {routesConfirmedAt, serversConfirmedAt} = catalog.stamp;
+    const wait = THIRD_READ_MS + (rank - WAITING_RANKS) * WAIT_A_RANK_MS;
+    const bounded =
+      wait < LONGEST_WAIT_MS
+        ? wait
+        : LONGEST_WAIT_MS * (1 + random.next() / 2);
+    return Math.min(routesConfirmedAt, serversConfirmedAt) + bounded;
   }
 
-  private nextRouteRead(): number {
-    const {catalog} = this.options;
-    const rank = this.options.rank();
-    if (catalog.stamp.routeVersion === 0 || rank < WAITING_RANKS) {
-      return -Infinity;
+  private async readOnce(): Promise<SourceFailure | undefined> {
+    const {catalog, clock} = this.options;
+    const sentAt = clock.now();
+    if (this.needsWhole || !catalog.isComplete) {
+      const reading = await this.options.source.readAll(sentAt + READ_LIMIT_MS);
+      return reading.match(
+        async read => this.takeAll(read, sentAt),
+        failure => failure,
+      );
     }
-    const wait = THIRD_ROUTE_READ_MS + (rank - WAITING_RANKS) * WAIT_A_RANK_MS;
-    return (
-      catalog.stamp.routesConfirmedAt + Math.min(wait, LONGEST_WAIT_MS)
+    const events = await this.awaitEvents(sentAt);
+    return events.match(
+      taken => this.takeEvents(taken, sentAt),
+      failure => failure,
     );
   }
 
-  private serverWait(): number {
-    const rank = this.options.rank();
-    return rank === 0
-      ? SERVER_READ_MS
-      : Math.min(
-          SECOND_SERVER_READ_MS + (rank - 1) * WAIT_A_RANK_MS,
-          LONGEST_WAIT_MS,
-        );
+  private awaitEvents(
+    sentAt: number,
+  ): Promise<Result<CatalogEvents, SourceFailure>> {
+    const {catalog, source} = this.options;
+    const wait = this.options.rank() < WAITING_RANKS ? EVENT_WAIT_MS : 0;
+    const deadline = sentAt + wait;
+    const {serverRevision} = catalog.stamp;
+    return Promise.resolve(source.awaitEvents(serverRevision, deadline));
   }
 
-  /** Tells of the read and pauses after a failure. */
-  private async finish(
-    what: string,
-    read: Result<unknown, SourceFailure>,
-    failures: number,
-  ): Promise<void> {
-    if (read.isOk()) {
-      this.noteRegained(what);
-      this.options.onRead();
+  private async takeAll(
+    reading: CatalogReading,
+    sentAt: number,
+  ): Promise<undefined> {
+    const {catalog, clock} = this.options;
+    catalog.takeServers(reading.servers, sentAt);
+    if (reading.routes === undefined) {
+      const until = clock.now() + EMPTY_PAUSE_MS;
+      await this.sleepUntil(() => until);
       return;
     }
-    if (this.stopped) {
-      return;
+    catalog.takeRoutes(reading.routes, sentAt);
+    this.needsWhole = false;
+  }
+
+  /**
+   * A wait that ended without events confirms the copy as of its start. The
+   * revision that it ended with is not taken, so that an event which it failed
+   * to show is still ahead of the next wait.
+   */
+  private takeEvents(events: CatalogEvents, sentAt: number): undefined {
+    const {catalog, clock} = this.options;
+    const {routes, written, removed} = events;
+    const isEmpty =
+      routes === undefined && written.length === 0 && removed.length === 0;
+    if (isEmpty) {
+      catalog.confirmAll(sentAt);
+    } else {
+      catalog.takeEvents(events, clock.now());
     }
-    this.noteLost(what, read.error);
-    const {clock, random} = this.options;
-    const pause = Math.min(RETRY_MS * 2 ** (failures - 1), LONGEST_RETRY_MS);
-    const until = clock.now() + pause * (0.5 + random.next());
-    await this.sleepUntil(() => until);
   }
 
-  private noteLost(what: string, failure: SourceFailure): void {
-    const fields = {what, kind: failure.kind, cause: failure.message};
-    if (!this.lost) {
-      this.lost = true;
-      this.options.log.warn('source-lost', fields);
-      return;
+  private noteSuccess(): void {
+    if (this.failures > 0) {
+      this.options.log.warn('source-regained', {failures: this.failures});
     }
-    this.options.log.info('source-read-failed', fields);
+    this.failures = 0;
+    this.outOfTouchUntil = -Infinity;
+    this.options.onRead();
   }
 
-  private noteRegained(what: string): void {
-    if (this.lost) {
-      this.lost = false;
-      this.options.log.warn('source-regained', {what});
+  private async pauseAfter(failure: SourceFailure): Promise<void> {
+    const {clock, log, random} = this.options;
+    this.needsWhole = true;
+    const fields = {kind: failure.kind, cause: failure.message};
+    if (failure.kind === SourceFailureKind.HISTORY_LOST) {
+      log.info('source-history-lost', fields);
+      return;
     }
+    this.failures += 1;
+    this.outOfTouchUntil = clock.now() + OUT_OF_TOUCH_MS;
+    log.warn(this.failures === 1 ? 'source-lost' : 'source-read-failed', fields);
+    const doubled = RETRY_MS * 2 ** Math.min(10, this.failures - 1);
+    const pause = Math.min(doubled, LONGEST_RETRY_MS) * (0.5 + random.next());
+    const until = clock.now() + pause;
+    await this.sleepUntil(() => until);
   }
 
   /** Sleeps until the time that `due` gives, which may move meanwhile. */
   private async sleepUntil(due: () => number): Promise<void> {
     const {clock} = this.options;
-    while (!this.stopped && due() > clock.now()) {
+    while (!this.stopped) {
       const deadline = due();
+      if (deadline <= clock.now()) {
+        return;
+      }
       await new Promise<void>(resolve => {
-        const timer = clock.callAt(deadline, () => {
-          this.timers.delete(timer);
-          resolve();
-        });
-        this.timers.add(timer);
+        this.timer = clock.callAt(deadline, resolve);
       });
     }
   }
--- a/src/catalog/records.ts
+++ b/src/catalog/records.ts
@@ -20,6 +20,8 @@
   readonly coldUntil: number;
   /** Revision of the store at which it first appeared. */
   readonly createdRevision: number;
+  /** Revision of the store at which its entry last changed. */
+  readonly revision: number;
 }
 
 /** All backend servers as of one revision of the store. */
@@ -41,6 +43,23 @@
   readonly shares: readonly ServiceShare[];
 }
 
+/** A server whose entry is gone. */
+export interface RemovedServer {
+  readonly id: string;
+  readonly revision: number;
+}
+
+/** What the store reported since an earlier revision. */
+export interface CatalogEvents {
+  /** All events up to this revision are in it. */
+  readonly revision: number;
+  /** Undefined when no version of the routes was written. */
+  readonly routes: RouteListing | undefined;
+  /** Servers whose entries were written, the newest write of each last. */
+  readonly written: readonly CatalogServer[];
+  readonly removed: readonly RemovedServer[];
+}
+
 /** One version of the operators' routes. */
 export interface RouteListing {
   readonly version: number;
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -185,8 +185,11 @@
     const before = catalog.stamp;
     catalog.confirmRoutes(beat.routeVersion, now - beat.routesAgeMs);
     catalog.confirmServers(
-      beat.serverRevision,
-      beat.serverDigest,
+      {
+        revision: beat.serverRevision,
+        digest: beat.serverDigest,
+        routeVersion: beat.routeVersion,
+      },
       now - beat.serversAgeMs,
     );
     const after = catalog.stamp;
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -147,8 +147,14 @@
 
   private self(): PeerAge {
     const {address, failureDomain, capacity} = this.options.settings;
-    const leaving = this.isLeaving;
-    return {address, failureDomain, capacity, leaving, ageMs: 0};
+    return {
+      address,
+      failureDomain,
+      capacity,
+      leaving: this.isLeaving,
+      outOfTouch: this.reader.isOutOfTouch(),
+      ageMs: 0,
+    };
   }
 
   private rank(): number {
--- a/src/membership/peer-ages.ts
+++ b/src/membership/peer-ages.ts
@@ -23,6 +23,8 @@
   /** Processor share in thousandths of a core. */
   readonly capacity: number;
   readonly leaving: boolean;
+  /** The store did not answer it of late. */
+  readonly outOfTouch: boolean;
   /** Monotonic milliseconds at which it was last known to live. */
   readonly aliveAt: number;
 }
@@ -49,12 +51,13 @@
     if (told.address === this.self || told.ageMs > FORGET_AGE_MS || outdated) {
       return false;
     }
-    const {address, failureDomain, capacity, leaving} = told;
+    const {address, failureDomain, capacity, leaving, outOfTouch} = told;
     this.peers.set(address, {
       address,
       failureDomain,
       capacity,
       leaving,
+      outOfTouch,
       aliveAt,
     });
     return (
@@ -86,6 +89,7 @@
       failureDomain: peer.failureDomain,
       capacity: peer.capacity,
       leaving: peer.leaving,
+      outOfTouch: peer.outOfTouch,
     }));
   }
 
--- a/src/ports/catalog-source.ts
+++ b/src/ports/catalog-source.ts
@@ -1,6 +1,10 @@
 /** The port to the place where routes and backend servers are published. */
 import type {ResultAsync} from 'neverthrow';
-import type {RouteListing, ServerListing} from '../catalog/records.js';
+import type {
+  CatalogEvents,
+  RouteListing,
+  ServerListing,
+} from '../catalog/records.js';
 
 /** Why a read gave no result. */
 export const SourceFailureKind = {
@@ -42,31 +46,27 @@
   }
 }
 
-/** The routes as read; undefined while the operators have published none. */
-export interface RouteReading {
-  readonly listing: RouteListing | undefined;
-  /** Position from which a wait for the next version goes on. */
-  readonly position: number;
+/** Everything that is published, as read at once. */
+export interface CatalogReading {
+  /** Undefined while the operators have published none. */
+  readonly routes: RouteListing | undefined;
+  readonly servers: ServerListing;
 }
 
 /** Where routes and backend servers are published. */
 export abstract class CatalogSource {
-  /** Reads all servers; `deadline` is monotonic milliseconds. */
-  abstract readServers(
+  /** Reads everything; `deadline` is monotonic milliseconds. */
+  abstract readAll(
     deadline: number,
-  ): ResultAsync<ServerListing, SourceFailure>;
-  /** Reads the newest routes. */
-  abstract readRoutes(
-    deadline: number,
-  ): ResultAsync<RouteReading, SourceFailure>;
+  ): ResultAsync<CatalogReading, SourceFailure>;
   /**
-   * Waits until there is a version after `position` or `deadline` comes. The
-   * listing is undefined when nothing has changed.
+   * Waits until something is written after `revision` or `deadline` comes; the
+   * events are then empty.
    */
-  abstract awaitRoutes(
-    position: number,
+  abstract awaitEvents(
+    revision: number,
     deadline: number,
-  ): ResultAsync<RouteReading, SourceFailure>;
+  ): ResultAsync<CatalogEvents, SourceFailure>;
   /** Closes all connections. */
   abstract close(): void;
 }
