Bundle compiled ahead; lines formatted without the other formats

Cause: starts cost processor time that is lost when all instances come back at once. Of 45 ms of our own at start, 22 were compiling the bundle.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,13 +1,48 @@
-/** Bundles the daemon into one file, so that a start reads and compiles little. */
+/**
+ * Bundles the daemon into one file and compiles it ahead, so that a start reads
+ * and compiles little: all instances may start at once, each on a small share
+ * of a processor.
+ */
+import {readFileSync, writeFileSync} from 'node:fs';
+import {createRequire} from 'node:module';
+import vm from 'node:vm';
 import {build} from 'esbuild';
 
+const BUNDLE = 'target/weldyardd.bundle.cjs';
+const CODE = 'target/weldyardd.code';
+const LAUNCHER = 'target/weldyardd.cjs';
+
 await build({
   entryPoints: ['platform/main.ts'],
-  outfile: 'target/weldyardd.cjs',
+  outfile: BUNDLE,
   bundle: true,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  minifySyntax: true,
+  minify: true,
+  // Loaded with the first reading of counters, if there is one.
+  external: ['prom-client'],
   legalComments: 'none',
 });
+
+// The bundle runs once without settings, which compiles what a start needs.
+const source = `(function (require, module, exports) {${readFileSync(BUNDLE, 'utf8')}\n})`;
+const script = new vm.Script(source, {filename: BUNDLE});
+const module = {exports: {}};
+const require = createRequire(import.meta.url);
+process.env.WELDYARD_COMPILE_ONLY = '1';
+script.runInThisContext()(require, module, module.exports);
+writeFileSync(CODE, script.createCachedData());
+writeFileSync(BUNDLE, source);
+writeFileSync(
+  LAUNCHER,
+  `'use strict';
+const {readFileSync} = require('node:fs');
+const vm = require('node:vm');
+const script = new vm.Script(readFileSync('${BUNDLE}', 'utf8'), {
+  filename: '${BUNDLE}',
+  cachedData: readFileSync('${CODE}'),
+});
+script.runInThisContext()(require, module, exports);
+`,
+);
--- a/src/adapters/stdout-log.ts
+++ b/src/adapters/stdout-log.ts
@@ -1,10 +1,11 @@
 /**
- * JSON log lines on standard output, by winston's formatter. Lines are kept in
+ * JSON log lines on standard output, by winston's formats. Lines are kept in
  * a bounded buffer and written by one write at a time, off the main thread: a
  * reader that stops reading costs lines, which are counted, and no service.
  */
 import {write} from 'node:fs';
-import logform from 'logform';
+import printf from 'logform/printf.js';
+import {MESSAGE} from 'triple-beam';
 import type {Clock, Timer} from '../ports/clock.js';
 import {Log, type LogFields} from '../ports/log.js';
 
@@ -36,10 +37,7 @@
   private isWriting = false;
   private timer: Timer | undefined;
   private readonly budgets = new Map<string, Budget>();
-  private readonly format = logform.format.combine(
-    logform.format.timestamp(),
-    logform.format.json(),
-  );
+  private readonly format = printf(info => JSON.stringify(info));
 
   private constructor(
     private readonly process: string,
@@ -123,16 +121,14 @@
     const told = this.lost > 0 ? {linesLost: this.lost} : {};
     this.lost = 0;
     const line = this.format.transform({
+      timestamp: new Date(this.clock.wall()).toISOString(),
       level,
       message: event,
       process: this.process,
       ...fields,
       ...told,
     });
-    const message = Symbol.for('message');
-    return typeof line === 'object'
-      ? `${String((line as unknown as Record<symbol, unknown>)[message])}\n`
-      : '';
+    return typeof line === 'object' ? `${String(line[MESSAGE])}\n` : '';
   }
 
   private async writeAll(): Promise<void> {
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -109,7 +109,11 @@
     const ready = this.catalog.isComplete && !this.isLeaving;
     if (ready !== this.wasReady) {
       this.wasReady = ready;
-      this.options.log.warn(ready ? 'ready' : 'not-ready', this.versions());
+      const {log, clock} = this.options;
+      log.warn(ready ? 'ready' : 'not-ready', {
+        ...this.versions(),
+        ...sinceStart(clock),
+      });
     }
     return ready;
   }
@@ -206,11 +210,8 @@
   private noteFirst(): void {
     if (!this.hasForwarded) {
       this.hasForwarded = true;
-      const cpu = process.cpuUsage();
-      this.options.log.info('first-packet', {
-        processorMs: Math.round((cpu.user + cpu.system) / 1_000),
-        sinceStartMs: Math.round(this.options.clock.now()),
-      });
+      const {log, clock} = this.options;
+      log.info('first-packet', sinceStart(clock));
     }
   }
 
@@ -248,3 +249,12 @@
   const destination = `${formatIpv4(packet.destinationAddress)}:${packet.destinationPort}`;
   return {source, destination};
 }
+
+/** What the process has used up to now. */
+function sinceStart(clock: Clock): LogFields {
+  const {user, system} = process.cpuUsage();
+  return {
+    processorMs: Math.round((user + system) / 1_000),
+    sinceStartMs: Math.round(clock.now()),
+  };
+}
