A readiness answer waits for the first read; packets wait in the socket

Cause: after a loss of power a daemon that had routes and servers was handed nothing for up to half a second more, since its first check had been refused; and packets that it could not route yet took its processor time.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -90,11 +90,14 @@
     return new EntryDaemon(options);
   }
 
-  /** Starts all tasks. */
+  /**
+   * Starts all tasks, the read of the store first. Packets wait in the socket
+   * until the daemon knows routes and servers: it could do nothing with them.
+   */
   async run(): Promise<void> {
     const {fabric, log, settings} = this.options;
     this.catalog.onChange(change => this.noteChange(change));
-    fabric.onPacket(packet => this.handle(packet));
+    this.whenComplete(() => fabric.onPacket(packet => this.handle(packet)));
     this.stops.push(this.reader.start());
     this.stops.push(await this.spread.start());
     log.info('started', {
@@ -118,6 +121,21 @@
     return ready;
   }
 
+  /**
+   * Whether the daemon is ready now or becomes so before `deadline` (monotonic
+   * milliseconds). The fabric asks only twice a second, so an answer that waits
+   * for the first read brings the daemon in earlier than a refusal does.
+   */
+  async isReadyBy(deadline: number): Promise<boolean> {
+    if (!this.catalog.isComplete && !this.isLeaving) {
+      await new Promise<void>(resolve => {
+        this.options.clock.callAt(deadline, resolve);
+        this.whenComplete(resolve);
+      });
+    }
+    return this.isReady();
+  }
+
   /** Stops taking new work, forwards until the fabric has left, and ends. */
   async stop(): Promise<void> {
     const {clock, log} = this.options;
@@ -133,6 +151,19 @@
     log.warn('stopped', {flows: this.router.flows.size});
   }
 
+  /** Calls a task once routes and servers are known. */
+  private whenComplete(task: () => void): void {
+    let isDone = false;
+    const runOnce = () => {
+      if (!isDone && this.catalog.isComplete) {
+        isDone = true;
+        task();
+      }
+    };
+    this.catalog.onChange(runOnce);
+    runOnce();
+  }
+
   private createSpread(): CatalogSpread {
     const {settings, channel, clock, log, random} = this.options;
     return CatalogSpread.create({
