Start order: readiness, store, peers, then the rest

Cause: what a start does before the store's answer is paid by every caller when all instances come back at once.

--- a/src/adapters/datagram-fleet.ts
+++ b/src/adapters/datagram-fleet.ts
@@ -28,6 +28,7 @@
 export class DatagramFleet extends FleetChannel {
   private socket: dgram.Socket | undefined;
   private server: http.Server | undefined;
+  private handlers: FleetHandlers | undefined;
 
   private constructor(private readonly options: DatagramFleetOptions) {
     super();
@@ -40,20 +41,24 @@
 
   async serve(handlers: FleetHandlers): Promise<void> {
     const {address, port} = this.options;
-    const host = formatIpv4(address);
+    this.handlers = handlers;
+    this.socket = await bindUdp(`${formatIpv4(address)}:${port}`);
+    this.socket.on('message', (bytes, from) =>
+      this.receive(handlers, bytes, from.address),
+    );
+  }
+
+  /** Answers pulls; separate, since a starting daemon has nothing to give yet. */
+  async servePulls(): Promise<void> {
+    const {address, port} = this.options;
     const server = http.createServer((request, response) =>
-      answerPull(handlers, request, response),
+      answerPull(this.handlers, request, response),
     );
     this.server = server;
-    const listening = new Promise<void>((resolve, reject) => {
+    await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
-      server.listen(port, host, resolve);
+      server.listen(port, formatIpv4(address), resolve);
     });
-    this.socket = await bindUdp(`${host}:${port}`);
-    this.socket.on('message', (bytes, from) =>
-      this.receive(handlers, bytes, from.address),
-    );
-    await listening;
   }
 
   beat(address: number, beat: Beat): void {
@@ -131,12 +136,12 @@
 }
 
 function answerPull(
-  handlers: FleetHandlers,
+  handlers: FleetHandlers | undefined,
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
   const url = new URL(request.url ?? '/', 'http://peer');
-  if (url.pathname !== PULL_PATH) {
+  if (url.pathname !== PULL_PATH || handlers === undefined) {
     response.writeHead(NOT_FOUND).end();
     return;
   }
