Planned stops take turns within a failure domain and end when it is quiet

Change: a stop waits until half of the domain is ready without it, and forwards until no packet came for 0.3 s instead of for 2.2 s.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -25,14 +25,9 @@
 import {LightestPlacement} from '../routing/placement.js';
 import type {Random} from '../routing/random.js';
 import {ServerWorkLedger} from '../routing/server-work.js';
+import {PlannedStop} from './planned-stop.js';
 import type {EntrySettings} from './settings.js';
 
-/**
- * Time for which a stopping daemon goes on forwarding: the routers ask twice a
- * second and leave after two refusals, and a further second is to spare.
- */
-const FORWARD_AFTER_STOP_MS = 2_200;
-
 /** What a daemon is made from. */
 export interface EntryDaemonOptions {
   readonly settings: EntrySettings;
@@ -58,6 +53,8 @@
   private isLeaving = false;
   private wasReady = false;
   private hasForwarded = false;
+  /** Monotonic milliseconds at which the fabric last handed a packet over. */
+  private lastPacketAt = -Infinity;
 
   private constructor(private readonly options: EntryDaemonOptions) {
     const {settings, clock, hasher, random, log} = options;
@@ -136,19 +133,28 @@
     return this.isReady();
   }
 
-  /** Stops taking new work, forwards until the fabric has left, and ends. */
+  /** Ends once its failure domain can spare it and the fabric has left. */
   async stop(): Promise<void> {
-    const {clock, log} = this.options;
-    this.isLeaving = true;
+    const {clock, log, settings} = this.options;
+    const stop = PlannedStop.create({
+      clock,
+      peers: this.peers,
+      failureDomain: settings.failureDomain,
+      stopLimitMs: settings.stopLimitMs,
+      lastPacketAt: () => this.lastPacketAt,
+    });
     log.warn('stopping', this.versions());
+    await stop.awaitTurn();
+    this.isLeaving = true;
+    log.warn('leaving', this.versions());
     this.spread.announce();
-    const deadline = clock.now() + FORWARD_AFTER_STOP_MS;
-    await new Promise<void>(resolve => {
-      clock.callAt(deadline, resolve);
-    });
-    this.stops.forEach(stop => stop());
+    await stop.awaitQuiet();
+    this.stops.forEach(end => end());
     this.options.fabric.close();
-    log.warn('stopped', {flows: this.router.flows.size});
+    log.warn('stopped', {
+      flows: this.router.flows.size,
+      quietMs: Math.round(clock.now() - this.lastPacketAt),
+    });
   }
 
   /** Calls a task once routes and servers are known. */
@@ -198,7 +204,8 @@
   }
 
   private handle(packet: CookiePacket): void {
-    const {fabric, counters} = this.options;
+    const {fabric, counters, clock} = this.options;
+    this.lastPacketAt = clock.now();
     const decision = this.router.decide(packet);
     if (decision.verdict !== Verdict.FORWARD) {
       this.refuse(packet, decision);
