A server is avoided from the first packet that has to be sent again

Cause: openings went on to servers that had fallen silent until two copies were seen by the same daemon, and peers heard up to half a second later. Change: one repeated packet, of an opening or of data, sets a server aside for 0.8 s, doubling; peers are told at once; silence of more than half of a service counts for nothing.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -68,7 +68,7 @@
       placement: LightestPlacement.create(),
       clock,
       random,
-      onSilent: ({id}) => log.warn('server-silent', {server: id}),
+      onSilent: ({id}) => this.noteSilent(id),
     });
     this.spread = this.createSpread();
     this.reader = CatalogReader.create({
@@ -253,6 +253,12 @@
     }
   }
 
+  /** Peers are told at once: each opening that they send there is lost. */
+  private noteSilent(server: string): void {
+    this.options.log.info('server-silent', {server});
+    this.spread.announce();
+  }
+
   private noteChange(change: CatalogChange): void {
     const {log} = this.options;
     if (change.routeVersion !== undefined) {
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -68,7 +68,7 @@
   readonly placement: Placement;
   readonly clock: Clock;
   readonly random: Random;
-  /** Told when an opening had to be sent again and its server is now avoided. */
+  /** Told of a server that left a packet unanswered and is avoided from now on. */
   onSilent(server: CatalogServer): void;
 }
 
@@ -77,7 +77,7 @@
   readonly flows: SeenFlows;
 
   private constructor(private readonly options: CookieRouterOptions) {
-    this.flows = SeenFlows.create(options.work);
+    this.flows = SeenFlows.create(options);
   }
 
   /** Creates a router without any flow. */
@@ -164,8 +164,8 @@
   }
 
   /**
-   * Servers not tried yet that answer; if there is none, those that answer, and
-   * if none does, all of them: silence may be the network's.
+   * Servers not tried yet that answer. When fewer than half of the servers
+   * answer, silence counts for nothing: it may be this daemon's network.
    */
   private usableOf(
     servers: readonly CatalogServer[],
@@ -174,11 +174,11 @@
   ): readonly CatalogServer[] {
     const {work} = this.options;
     const answering = servers.filter(({id}) => !work.isSilent(id, now));
-    const untried = answering.filter(
+    const trusted = answering.length * 2 >= servers.length ? answering : servers;
+    const untried = trusted.filter(
       ({id}) => !tried.some(server => server.id === id),
     );
-    const choices = [untried, answering, servers];
-    return choices.find(({length}) => length > 0) ?? [];
+    return untried.length > 0 ? untried : trusted;
   }
 
   private candidateOf(server: CatalogServer, index: number, now: number) {
--- a/src/routing/seen-flows.ts
+++ b/src/routing/seen-flows.ts
@@ -15,6 +15,8 @@
 const IDLE_LIFETIME_MS = 20_000;
 /** Time between two sweeps, in milliseconds. */
 const SWEEP_MS = 1_000;
+/** Stands for "no data yet" among positions. */
+const NO_DATA = -1;
 /** Half of the range of positions: what is further ahead lies behind. */
 const HALF_RANGE = 2 ** 31;
 
@@ -30,20 +32,30 @@
   isBusy: boolean;
   /** What the caller had acknowledged when it sent the request. */
   acknowledgedBefore: number;
+  /** Position of the newest data that the caller sent. */
+  newestData: number;
   /** Monotonic milliseconds after which it is forgotten. */
   forgetAt: number;
 }
 
+/** What a record of flows is made from. */
+export interface SeenFlowsOptions {
+  /** Where requests and silences are counted. */
+  readonly work: ServerWorkLedger;
+  /** Told of a server that is avoided from now on. */
+  onSilent(server: CatalogServer): void;
+}
+
 /** The flows that one daemon has seen of late. */
 export class SeenFlows {
   private readonly flows = new Map<string, SeenFlow>();
   private sweepAt = -Infinity;
 
-  private constructor(private readonly work: ServerWorkLedger) {}
+  private constructor(private readonly options: SeenFlowsOptions) {}
 
-  /** Creates an empty record that counts into a ledger. */
-  static create(work: ServerWorkLedger): SeenFlows {
-    return new SeenFlows(work);
+  /** Creates an empty record. */
+  static create(options: SeenFlowsOptions): SeenFlows {
+    return new SeenFlows(options);
   }
 
   /** Flows on record. */
@@ -73,6 +85,7 @@
       isOpen: false,
       isBusy: false,
       acknowledgedBefore: 0,
+      newestData: NO_DATA,
       forgetAt,
     });
   }
@@ -92,10 +105,11 @@
     if (!flow.isOpen) {
       flow.isOpen = true;
       flow.server = named;
-      this.work.noteAnswered(named.id);
+      this.options.work.noteAnswered(named.id);
     }
     flow.forgetAt = now + IDLE_LIFETIME_MS;
     this.noteProgress(flow, packet);
+    this.noteRepeat(flow, packet, now);
     if (packet.closes || packet.resets) {
       this.end(packet, flow, now);
     }
@@ -113,6 +127,7 @@
       isOpen: true,
       isBusy: false,
       acknowledgedBefore: packet.acknowledged,
+      newestData: NO_DATA,
       forgetAt: now + IDLE_LIFETIME_MS,
     };
     if (!packet.closes && !packet.resets) {
@@ -126,19 +141,32 @@
     if (packet.dataLength > 0 && !flow.isBusy) {
       flow.isBusy = true;
       flow.acknowledgedBefore = packet.acknowledged;
-      this.work.count(flow.server.id, 1);
+      this.options.work.count(flow.server.id, 1);
       return;
     }
     const ahead = (packet.acknowledged - flow.acknowledgedBefore) >>> 0;
     if (flow.isBusy && ahead > 0 && ahead < HALF_RANGE) {
       this.finish(flow);
+      this.options.work.noteAnswered(flow.server.id);
+    }
+  }
+
+  /** The same data once more: the server has not confirmed it in time. */
+  private noteRepeat(flow: SeenFlow, packet: CookiePacket, now: number): void {
+    if (packet.dataLength === 0) {
+      return;
+    }
+    const isRepeat = packet.sequence === flow.newestData;
+    flow.newestData = packet.sequence;
+    if (isRepeat && this.options.work.noteUnanswered(flow.server.id, now)) {
+      this.options.onSilent(flow.server);
     }
   }
 
   private finish(flow: SeenFlow): void {
     if (flow.isBusy) {
       flow.isBusy = false;
-      this.work.count(flow.server.id, -1);
+      this.options.work.count(flow.server.id, -1);
     }
   }
 
--- a/src/routing/server-work.ts
+++ b/src/routing/server-work.ts
@@ -9,18 +9,20 @@
 const SERVER_SEED = 17;
 /** Time for which what a peer told counts: three beats, in milliseconds. */
 const TOLD_LIFETIME_MS = 1_500;
-/** Unanswered openings in a row after which a server is taken to be silent. */
-const SILENT_AFTER = 2;
-/** Time for which a silent server gets no new flows, in milliseconds. */
-const SILENCE_MS = 1_500;
+/**
+ * Time for which a server that left a packet unanswered gets no new flows, in
+ * milliseconds. It doubles with each time that it was tried again in vain.
+ */
+const FIRST_AVOIDANCE_MS = 800;
+const LONGEST_AVOIDANCE_MS = 6_400;
 /** Servers told of in one beat. */
 const TOLD_SERVERS = 40;
 
 /** What this daemon saw of one server. */
 interface ServerSight {
   unfinished: number;
-  /** Openings sent again since one was last answered. */
-  unanswered: number;
+  /** Times that it was avoided since it last answered. */
+  avoidances: number;
   /** Monotonic milliseconds until which it gets no new flows. */
   avoidUntil: number;
 }
@@ -56,22 +58,26 @@
     sight.unfinished = Math.max(0, sight.unfinished + change);
   }
 
-  /** Notes that a server answered an opening packet. */
+  /** Notes that a server answered a packet. */
   noteAnswered(server: string): void {
     const sight = this.sightOf(server);
-    sight.unanswered = 0;
+    sight.avoidances = 0;
     sight.avoidUntil = -Infinity;
   }
 
-  /** Notes that an opening had to be sent again; true if that makes it silent. */
+  /**
+   * Notes that a packet had to be sent again; true if the server is avoided
+   * from now on. Further signs of the same silence change nothing.
+   */
   noteUnanswered(server: string, now: number): boolean {
     const sight = this.sightOf(server);
-    sight.unanswered += 1;
-    const silent = sight.unanswered >= SILENT_AFTER;
-    if (silent) {
-      sight.avoidUntil = now + SILENCE_MS;
+    if (sight.avoidUntil > now) {
+      return false;
     }
-    return silent;
+    const doubled = FIRST_AVOIDANCE_MS * 2 ** sight.avoidances;
+    sight.avoidances += 1;
+    sight.avoidUntil = now + Math.min(doubled, LONGEST_AVOIDANCE_MS);
+    return true;
   }
 
   /** Unfinished requests at a server, over all daemons that told theirs. */
@@ -147,7 +153,7 @@
     if (known !== undefined) {
       return known;
     }
-    const created = {unfinished: 0, unanswered: 0, avoidUntil: -Infinity};
+    const created = {unfinished: 0, avoidances: 0, avoidUntil: -Infinity};
     this.sights.set(hash, created);
     return created;
   }
