Refused openings are seen from the callers' silence

Ruled out: the store (its entries lapse three heartbeats later), copies of openings (a refused caller sends none). Change: an opening without a next packet for four times the usual time, at least 25 ms, sets its server aside.

--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -124,7 +124,7 @@
       return {verdict: Verdict.FORWARD, server, cookie};
     }
     const tried = known === undefined || known.isOpen ? [] : known.tried;
-    this.noteUnanswered(tried, now);
+    tried.slice(-1).forEach(last => this.noteUnanswered(last, now));
     const server = this.place(route, tried, now);
     const cookie = server === undefined ? undefined : catalog.cookieOf(server);
     if (server === undefined || cookie === undefined) {
@@ -134,13 +134,9 @@
     return {verdict: Verdict.FORWARD, server, cookie};
   }
 
-  private noteUnanswered(tried: readonly CatalogServer[], now: number): void {
-    const last = tried[tried.length - 1];
-    if (last === undefined) {
-      return;
-    }
-    if (this.options.work.noteUnanswered(last.id, now)) {
-      this.options.onSilent(last);
+  private noteUnanswered(server: CatalogServer, now: number): void {
+    if (this.options.work.noteUnanswered(server.id, now)) {
+      this.options.onSilent(server);
     }
   }
 
@@ -173,6 +169,9 @@
     now: number,
   ): readonly CatalogServer[] {
     const {work} = this.options;
+    servers
+      .filter(({id}) => work.hasRefused(id, now))
+      .forEach(server => this.noteUnanswered(server, now));
     const answering = servers.filter(({id}) => !work.isSilent(id, now));
     const trusted = answering.length * 2 >= servers.length ? answering : servers;
     const untried = trusted.filter(
--- a/src/routing/seen-flows.ts
+++ b/src/routing/seen-flows.ts
@@ -26,6 +26,8 @@
   server: CatalogServer;
   /** Servers that its opening packets went to; empty when none was seen. */
   readonly tried: CatalogServer[];
+  /** When the newest opening packet was sent on; monotonic milliseconds. */
+  openingSentAt: number;
   /** Whether the caller has heard from the server. */
   isOpen: boolean;
   /** Whether a request is under way. */
@@ -71,17 +73,20 @@
   /** Records where an opening packet or a copy of it was sent. */
   noteOpening(packet: CookiePacket, server: CatalogServer, now: number): void {
     this.sweep(now);
+    this.options.work.noteOpening(server.id, now);
     const known = this.find(packet);
     const forgetAt = now + OPENING_LIFETIME_MS;
     if (known !== undefined && !known.isOpen) {
       known.tried.push(server);
       known.server = server;
+      known.openingSentAt = now;
       known.forgetAt = forgetAt;
       return;
     }
     this.put(packet, {
       server,
       tried: [server],
+      openingSentAt: now,
       isOpen: false,
       isBusy: false,
       acknowledgedBefore: 0,
@@ -105,7 +110,7 @@
     if (!flow.isOpen) {
       flow.isOpen = true;
       flow.server = named;
-      this.options.work.noteAnswered(named.id);
+      this.options.work.noteOpened(named.id, flow.openingSentAt, now);
     }
     flow.forgetAt = now + IDLE_LIFETIME_MS;
     this.noteProgress(flow, packet);
@@ -124,6 +129,7 @@
     const flow: SeenFlow = {
       server,
       tried: [],
+      openingSentAt: now,
       isOpen: true,
       isBusy: false,
       acknowledgedBefore: packet.acknowledged,
--- a/src/routing/server-work.ts
+++ b/src/routing/server-work.ts
@@ -15,6 +15,17 @@
  */
 const FIRST_AVOIDANCE_MS = 800;
 const LONGEST_AVOIDANCE_MS = 6_400;
+/**
+ * Times the usual time to answer an opening after which a server that has not
+ * answered is taken to have refused it: refusals go to the caller alone.
+ */
+const PATIENCE = 4;
+/** Shortest such wait, in milliseconds: twice a round trip to far callers. */
+const SHORTEST_PATIENCE_MS = 25;
+/** Usual time to answer an opening before one was seen, in milliseconds. */
+const FIRST_ANSWER_MS = 10;
+/** Share of the newest answer in the usual time. */
+const ANSWER_SHARE = 0.1;
 /** Servers told of in one beat. */
 const TOLD_SERVERS = 40;
 
@@ -25,6 +36,8 @@
   avoidances: number;
   /** Monotonic milliseconds until which it gets no new flows. */
   avoidUntil: number;
+  /** When the oldest opening without an answer was sent; Infinity: none. */
+  openingSince: number;
 }
 
 /** What one peer told of one server. */
@@ -44,6 +57,8 @@
   private readonly sights = new Map<number, ServerSight>();
   private readonly told = new Map<number, ToldVector>();
   private readonly hashes = new Map<string, number>();
+  /** Smoothed time from an opening to the caller's next packet. */
+  private usualAnswerMs = FIRST_ANSWER_MS;
 
   private constructor(private readonly hasher: Hasher) {}
 
@@ -58,9 +73,22 @@
     sight.unfinished = Math.max(0, sight.unfinished + change);
   }
 
+  /** Notes that an opening was sent to a server. */
+  noteOpening(server: string, now: number): void {
+    const sight = this.sightOf(server);
+    sight.openingSince = Math.min(sight.openingSince, now);
+  }
+
+  /** Notes that a server answered the opening sent at `sentAt`. */
+  noteOpened(server: string, sentAt: number, now: number): void {
+    this.usualAnswerMs += (now - sentAt - this.usualAnswerMs) * ANSWER_SHARE;
+    this.noteAnswered(server);
+  }
+
   /** Notes that a server answered a packet. */
   noteAnswered(server: string): void {
     const sight = this.sightOf(server);
+    sight.openingSince = Infinity;
     sight.avoidances = 0;
     sight.avoidUntil = -Infinity;
   }
@@ -74,12 +102,23 @@
     if (sight.avoidUntil > now) {
       return false;
     }
+    sight.openingSince = Infinity;
     const doubled = FIRST_AVOIDANCE_MS * 2 ** sight.avoidances;
     sight.avoidances += 1;
     sight.avoidUntil = now + Math.min(doubled, LONGEST_AVOIDANCE_MS);
     return true;
   }
 
+  /** Whether an opening was left without an answer for longer than is usual. */
+  hasRefused(server: string, now: number): boolean {
+    const sight = this.sights.get(this.hashOf(server));
+    const patience = Math.max(
+      SHORTEST_PATIENCE_MS,
+      this.usualAnswerMs * PATIENCE,
+    );
+    return sight !== undefined && now - sight.openingSince > patience;
+  }
+
   /** Unfinished requests at a server, over all daemons that told theirs. */
   unfinished(server: string, now: number): number {
     const hash = this.hashOf(server);
@@ -153,7 +192,12 @@
     if (known !== undefined) {
       return known;
     }
-    const created = {unfinished: 0, avoidances: 0, avoidUntil: -Infinity};
+    const created = {
+      unfinished: 0,
+      avoidances: 0,
+      avoidUntil: -Infinity,
+      openingSince: Infinity,
+    };
     this.sights.set(hash, created);
     return created;
   }
