--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -37,8 +37,17 @@
 /** First pause after a failed read, in milliseconds; doubles up to the longest. */
 const RETRY_MS = 200;
 const LONGEST_RETRY_MS = 1_200;
-/** Pause while the operators have published nothing yet, in milliseconds. */
-const EMPTY_PAUSE_MS = 500;
+/**
+ * Head start of the peers' answers over a starting daemon's own read, in
+ * milliseconds: several round trips between failure domains. It is short, since
+ * all daemons lose it when all of them start.
+ */
+const PEER_HEAD_START_MS = 30;
+/**
+ * Longest head start when the fleet starts for the first time, in milliseconds:
+ * callers come seconds later, and a fleet that reads at once reads in vain.
+ */
+const FIRST_HEAD_START_MS = 2_500;
 /** Time for which a daemon whose read failed ranks behind others, in milliseconds. */
 const OUT_OF_TOUCH_MS = 4_000;
 
@@ -49,6 +58,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly random: Random;
+  /** Whether the whole fleet starts for the first time. */
+  readonly isFirstStart: boolean;
   /** This daemon's rank among the live ones, from 0. */
   rank(): number;
   /** Called after each read that succeeded. */
@@ -59,12 +70,20 @@
 export class CatalogReader {
   private stopped = false;
   /** The next read takes everything, since events may have been missed. */
-  private needsWhole = true;
+  private needsWhole = false;
   private failures = 0;
   private outOfTouchUntil = -Infinity;
   private timer: Timer | undefined;
-
-  private constructor(private readonly options: ReaderOptions) {}
+  /** When the first read is due if no peer answers; monotonic milliseconds. */
+  private readonly firstReadAt: number;
+
+  private constructor(private readonly options: ReaderOptions) {
+    const {clock, random, isFirstStart} = options;
+    const headStart = isFirstStart
+      ? FIRST_HEAD_START_MS * random.next()
+      : PEER_HEAD_START_MS;
+    this.firstReadAt = clock.now() + headStart;
+  }
 
   /** Creates a reader that does nothing until started. */
   static create(options: ReaderOptions): CatalogReader {
@@ -102,8 +121,11 @@
   /** When this daemon has to read, in monotonic milliseconds. */
   private nextRead(): number {
     const {catalog, random} = this.options;
+    if (catalog.stamp.serverRevision === 0) {
+      return this.firstReadAt;
+    }
     const rank = this.options.rank();
-    if (!catalog.isComplete || rank < WAITING_RANKS) {
+    if (rank < WAITING_RANKS) {
       return -Infinity;
     }
     const {routesConfirmedAt, serversConfirmedAt} = catalog.stamp;
@@ -112,16 +134,20 @@
       wait < LONGEST_WAIT_MS
         ? wait
         : LONGEST_WAIT_MS * (1 + random.next() / 2);
-    return Math.min(routesConfirmedAt, serversConfirmedAt) + bounded;
+    // While nothing is published, there are no routes to be confirmed.
+    const confirmedAt = catalog.isComplete
+      ? Math.min(routesConfirmedAt, serversConfirmedAt)
+      : serversConfirmedAt;
+    return confirmedAt + bounded;
   }
 
   private async readOnce(): Promise<SourceFailure | undefined> {
     const {catalog, clock} = this.options;
     const sentAt = clock.now();
-    if (this.needsWhole || !catalog.isComplete) {
+    if (this.needsWhole || catalog.stamp.serverRevision === 0) {
       const reading = await this.options.source.readAll(sentAt + READ_LIMIT_MS);
       return reading.match(
-        async read => this.takeAll(read, sentAt),
+        read => this.takeAll(read, sentAt),
         failure => failure,
       );
     }
@@ -142,18 +168,12 @@
     return Promise.resolve(source.awaitEvents(serverRevision, deadline));
   }
 
-  private async takeAll(
-    reading: CatalogReading,
-    sentAt: number,
-  ): Promise<undefined> {
-    const {catalog, clock} = this.options;
+  private takeAll(reading: CatalogReading, sentAt: number): undefined {
+    const {catalog} = this.options;
     catalog.takeServers(reading.servers, sentAt);
-    if (reading.routes === undefined) {
-      const until = clock.now() + EMPTY_PAUSE_MS;
-      await this.sleepUntil(() => until);
-      return;
+    if (reading.routes !== undefined) {
+      catalog.takeRoutes(reading.routes, sentAt);
     }
-    catalog.takeRoutes(reading.routes, sentAt);
     this.needsWhole = false;
   }
 
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -18,7 +18,7 @@
 /** Fleet size up to which a beat goes to everyone. */
 const MESH_LIMIT = 16;
 /** Receivers of a beat in a larger fleet. */
-const FAN_OUT = 4;
+const FAN_OUT = 3;
 /** Rounds between two beats to a peer that has fallen silent. */
 const ROUNDS_BETWEEN_GREETINGS = 4;
 /** Deadline of one pull, in milliseconds. */
@@ -40,8 +40,11 @@
   readonly seeds: readonly number[];
   /** This daemon as its peers are to know it, now. */
   self(): PeerAge;
-  /** Unfinished work to tell. */
-  workToTell(): ServerWork[];
+  /**
+   * Work to tell. In a large fleet too few daemons hear of it for counts to mean
+   * anything; only servers that are silent are told.
+   */
+  workToTell(onlySilent: boolean): ServerWork[];
   onWork(sender: number, work: readonly ServerWork[]): void;
 }
 
@@ -137,7 +140,7 @@
       serverRevision: stamp.serverRevision,
       serverDigest: stamp.serverDigest,
       serversAgeMs: ageOf(stamp.serversConfirmedAt, now),
-      work: this.options.workToTell(),
+      work: this.options.workToTell(this.isLarge()),
       hello,
     };
   }
@@ -235,9 +238,13 @@
 
   /** Passes news on, where beats do not reach everyone by themselves. */
   private relay(): void {
-    const {peers, clock} = this.options;
-    if (peers.live(clock.now()).length > MESH_LIMIT) {
+    if (this.isLarge()) {
       this.announce();
     }
   }
+
+  private isLarge(): boolean {
+    const {peers, clock} = this.options;
+    return peers.live(clock.now()).length > MESH_LIMIT;
+  }
 }
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -77,6 +77,7 @@
       clock,
       log,
       random,
+      isFirstStart: settings.isFirstStart,
       rank: () => this.rank(),
       onRead: () => this.spread.announce(),
     });
@@ -88,15 +89,15 @@
   }
 
   /**
-   * Starts all tasks, the read of the store first. Packets wait in the socket
+   * Starts all tasks; peers are asked before the store. Packets wait in the socket
    * until the daemon knows routes and servers: it could do nothing with them.
    */
   async run(): Promise<void> {
     const {fabric, log, settings} = this.options;
     this.catalog.onChange(change => this.noteChange(change));
     this.whenComplete(() => fabric.onPacket(packet => this.handle(packet)));
-    this.stops.push(this.reader.start());
     this.stops.push(await this.spread.start());
+    this.stops.push(this.reader.start());
     log.info('started', {
       address: formatIpv4(settings.address),
       failureDomain: settings.failureDomain,
@@ -181,7 +182,7 @@
       random,
       seeds: settings.seeds,
       self: () => this.self(),
-      workToTell: () => this.work.toTell(clock.now()),
+      workToTell: onlySilent => this.work.toTell(clock.now(), onlySilent),
       onWork: (sender, work) => this.work.receive(sender, work, clock.now()),
     });
   }
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -14,6 +14,8 @@
   readonly peerPort: number;
   /** Port at which counters are read. */
   readonly metricsPort: number;
+  /** Whether the whole fleet starts for the first time. */
+  readonly isFirstStart: boolean;
   /** Addresses of daemons that may run, as IPv4 numbers. */
   readonly seeds: readonly number[];
   /** "ip:port" of the store. */
--- a/src/routing/server-work.ts
+++ b/src/routing/server-work.ts
@@ -146,10 +146,13 @@
     );
   }
 
-  /** What to tell the peers. */
-  toTell(now: number): ServerWork[] {
+  /** What to tell the peers: all work, or silent servers alone. */
+  toTell(now: number, onlySilent: boolean): ServerWork[] {
     return [...this.sights]
-      .filter(([, sight]) => sight.unfinished > 0 || sight.avoidUntil > now)
+      .filter(
+        ([, {unfinished, avoidUntil}]) =>
+          avoidUntil > now || (unfinished > 0 && !onlySilent),
+      )
       .slice(0, TOLD_SERVERS)
       .map(([server, {unfinished, avoidUntil}]) => ({
         server,
