--- a/bench/experiments/binding.ts
+++ b/bench/experiments/binding.ts
@@ -16,7 +16,7 @@
 import {build} from 'hdr-histogram-js';
 import {ResultAsync, errAsync} from 'neverthrow';
 import {FakeClock} from '../../standins/fake-clock.js';
-import {MemoryCounters} from '../../standins/memory-fleet.js';
+import {MemoryCounters} from '../../src/adapters/memory-counters.js';
 import {Random} from '../../src/routing/random.js';
 import {imbalanceOf, round} from '../measures.js';
 import type {Experiment} from './experiment.js';
--- a/bench/experiments/capacity.ts
+++ b/bench/experiments/capacity.ts
@@ -16,11 +16,8 @@
 import {Router} from '../../src/routing/router.js';
 import {ServerMarks} from '../../src/routing/server-marks.js';
 import {FakeClock} from '../../standins/fake-clock.js';
-import {
-  MemoryCounters,
-  MemoryFleet,
-  packetOf,
-} from '../../standins/memory-fleet.js';
+import {MemoryCounters} from '../../src/adapters/memory-counters.js';
+import {MemoryFleet, packetOf} from '../../standins/memory-fleet.js';
 import {Cluster, pause} from '../cluster.js';
 import {fitLine, round} from '../measures.js';
 import {HANDHELD, PARKWISE_DOMAINS} from '../plans.js';
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,11 +9,18 @@
   'configuration',
   'admission',
   'recovery',
+  'catalog',
 ];
 
+/** The users' platform is known to its own folder; platform/main.ts composes. */
+const PLATFORM_PATTERN = {
+  group: ['**/platform/*', '**/platform/**'],
+  message: 'Only platform/ knows the platform; use a port.',
+};
+
 export default [
   ...gts,
-  {ignores: ['dist/**', 'src/generated/**', 'node_modules/**']},
+  {ignores: ['dist/**', 'target/**', 'src/generated/**', 'node_modules/**']},
   {
     files: ['**/*.ts'],
     rules: {
@@ -31,6 +38,12 @@
       ],
     },
   },
+  {
+    files: ['src/**/*.ts', 'standins/**/*.ts', 'bench/**/*.ts', 'examples/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {patterns: [PLATFORM_PATTERN]}],
+    },
+  },
   {
     // The coordination parts see the outside through ports alone.
     files: INNER_FOLDERS.map(folder => `src/${folder}/**/*.ts`),
@@ -44,6 +57,7 @@
               group: ['**/adapters/**', '**/daemon/**', '**/cli/**'],
               message: 'Import a port instead.',
             },
+            PLATFORM_PATTERN,
           ],
         },
       ],
@@ -54,7 +68,12 @@
     rules: {
       'no-restricted-imports': [
         'error',
-        {patterns: [{group: ['**/adapters/**', '**/daemon/**', '**/cli/**']}]},
+        {
+          patterns: [
+            {group: ['**/adapters/**', '**/daemon/**', '**/cli/**']},
+            PLATFORM_PATTERN,
+          ],
+        },
       ],
     },
   },
--- a/src/adapters/daemon-peers.spec.ts
+++ b/src/adapters/daemon-peers.spec.ts
@@ -4,7 +4,7 @@
 import path from 'node:path';
 import {test} from 'node:test';
 import selfsigned from 'selfsigned';
-import {MemoryCounters} from '../../standins/memory-fleet.js';
+import {MemoryCounters} from './memory-counters.js';
 import {Metric} from '../ports/counters.js';
 import type {PeerHandlers} from '../ports/peers.js';
 import {DaemonPeers} from './daemon-peers.js';
--- a/src/adapters/datagram-fleet.ts
+++ b/src/adapters/datagram-fleet.ts
@@ -106,7 +106,12 @@
   ): Promise<Result<CatalogUpdate, PeerUnavailable>> {
     const host = formatIpv4(address);
     return new Promise(resolve => {
-      const request = http.get({host, port: this.options.port, path, agent: false});
+      const request = http.get({
+        host,
+        port: this.options.port,
+        path,
+        agent: false,
+      });
       const settle = (result: Result<CatalogUpdate, PeerUnavailable>) => {
         timer.cancel();
         request.destroy();
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -28,7 +28,9 @@
   const {stamp} = catalog;
   return {
     routes:
-      stamp.routeVersion > routeVersion ? encodeRoutes(catalog, now) : undefined,
+      stamp.routeVersion > routeVersion
+        ? encodeRoutes(catalog, now)
+        : undefined,
     servers:
       stamp.serverRevision > 0 && stamp.serverDigest !== serverDigest
         ? encodeServers(catalog, now)
--- /dev/null
+++ b/src/catalog/cookie-index.spec.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {Hasher} from '../ports/hasher.js';
+import {CookieIndex} from './cookie-index.js';
+import type {CatalogServer} from './records.js';
+
+/** Few values, so that servers meet in a cookie. */
+class NarrowHasher extends Hasher {
+  hashBytes(): number {
+    return 0;
+  }
+
+  hashText(text: string): number {
+    return text.length % 4;
+  }
+}
+
+function serverOf(id: string, service: string, created: number): CatalogServer {
+  return {
+    id,
+    service,
+    address: 1,
+    port: 1,
+    failureDomain: 'a',
+    slots: 1,
+    state: 'ready',
+    coldUntil: 0,
+    createdRevision: created,
+    revision: created,
+  };
+}
+
+const SERVERS = fc
+  .uniqueArray(fc.string({minLength: 1, maxLength: 9}), {maxLength: 12})
+  .map(ids =>
+    ids.map((id, index) => serverOf(id, index % 2 === 0 ? 'a' : 'b', index)),
+  );
+
+test('a cookie that is given out names its server alone, in any order of arrival', () => {
+  fc.assert(
+    fc.property(SERVERS, fc.nat(), (servers, turn) => {
+      const index = CookieIndex.create(new NarrowHasher());
+      const start = turn % Math.max(1, servers.length);
+      [...servers.slice(start), ...servers.slice(0, start)].forEach(server =>
+        index.add(server),
+      );
+      servers.forEach(server => {
+        const cookie = index.cookieOf(server);
+        if (cookie !== undefined) {
+          assert.notEqual(cookie, 0);
+          const found = index.find(cookie, new Set([server.service]));
+          assert.equal(found?.id, server.id);
+        }
+      });
+      const given = servers.flatMap(server => index.cookieOf(server) ?? []);
+      assert.equal(new Set(given).size, given.length);
+    }),
+    {seed: 2},
+  );
+});
+
+test('a cookie never leads to a service that the route does not allow', () => {
+  fc.assert(
+    fc.property(SERVERS, fc.nat(5), (servers, cookie) => {
+      const index = CookieIndex.create(new NarrowHasher());
+      servers.forEach(server => index.add(server));
+      const found = index.find(cookie, new Set(['a']));
+      assert.ok(found === undefined || found.service === 'a');
+      assert.equal(index.find(cookie, new Set()), undefined);
+    }),
+    {seed: 2},
+  );
+});
+
+test('a second server of a cookie gets it once the first is forgotten', () => {
+  const index = CookieIndex.create(new NarrowHasher());
+  const first = serverOf('xx', 'a', 1);
+  const second = serverOf('yy', 'a', 2);
+  index.add(second);
+  index.add(first);
+  assert.equal(index.cookieOf(first), 2);
+  assert.equal(index.cookieOf(second), undefined);
+  index.retain([second]);
+  assert.equal(index.cookieOf(second), 2);
+});
--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -131,9 +131,7 @@
     const {routesConfirmedAt, serversConfirmedAt} = catalog.stamp;
     const wait = THIRD_READ_MS + (rank - WAITING_RANKS) * WAIT_A_RANK_MS;
     const bounded =
-      wait < LONGEST_WAIT_MS
-        ? wait
-        : LONGEST_WAIT_MS * (1 + random.next() / 2);
+      wait < LONGEST_WAIT_MS ? wait : LONGEST_WAIT_MS * (1 + random.next() / 2);
     // While nothing is published, there are no routes to be confirmed.
     const confirmedAt = catalog.isComplete
       ? Math.min(routesConfirmedAt, serversConfirmedAt)
@@ -213,7 +211,10 @@
     }
     this.failures += 1;
     this.outOfTouchUntil = clock.now() + OUT_OF_TOUCH_MS;
-    log.warn(this.failures === 1 ? 'source-lost' : 'source-read-failed', fields);
+    log.warn(
+      this.failures === 1 ? 'source-lost' : 'source-read-failed',
+      fields,
+    );
     const doubled = RETRY_MS * 2 ** Math.min(10, this.failures - 1);
     const pause = Math.min(doubled, LONGEST_RETRY_MS) * (0.5 + random.next());
     const until = clock.now() + pause;
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -232,7 +232,8 @@
         applyUpdate(catalog, taken, clock.now());
         this.relay();
       },
-      failure => log.warn('pull-failed', {peer: sender, cause: failure.message}),
+      failure =>
+        log.warn('pull-failed', {peer: sender, cause: failure.message}),
     );
   }
 
--- /dev/null
+++ b/src/entry/entry-daemon.spec.ts
@@ -0,0 +1,313 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {XxhashHasher} from '../adapters/xxhash-hasher.js';
+import {OutageKind} from '../../standins/catalog-store.js';
+import {CookieWorld, type WorldPlan} from '../../standins/cookie-world.js';
+
+const BOUNDS = {drainMs: 3_000, configurationMs: 3_000};
+const PAY = {
+  address: 0xc6120001,
+  port: 443,
+  shares: [{service: 'pay', weight: 1}],
+};
+const DOCS = {
+  address: 0xc6120002,
+  port: 443,
+  shares: [{service: 'docs', weight: 1}],
+};
+const LONG_CALL_MS = 20_000;
+const PLAN: WorldPlan = {
+  seed: 1,
+  daemons: 5,
+  failureDomains: ['a', 'b'],
+  services: [
+    {name: 'pay', servers: 6, slots: 2, workMs: 20},
+    {name: 'docs', servers: 3, slots: 2, workMs: 10},
+  ],
+  routes: [PAY, DOCS],
+  bounds: BOUNDS,
+};
+
+async function createWorld(plan: Partial<WorldPlan> = {}) {
+  return CookieWorld.create({...PLAN, ...plan}, await XxhashHasher.create());
+}
+
+/** Starts callers every `everyMs` for a while; each sends some requests. */
+async function callFor(
+  world: CookieWorld,
+  lastsMs: number,
+  everyMs = 20,
+): Promise<void> {
+  const rounds = Math.floor(lastsMs / everyMs);
+  for (let round = 0; round < rounds; round += 1) {
+    const route = round % 3 === 0 ? DOCS : PAY;
+    world.call(route, 1 + (round % 4), 3_000);
+    await world.clock.advance(everyMs);
+  }
+}
+
+test('a calm fleet answers everything, and few daemons read the store', async () => {
+  const world = await createWorld();
+  const callsBefore = world.store.calls;
+  await callFor(world, 10_000);
+  await world.clock.advance(3_000);
+  const {answered, ...others} = world.tally.ends;
+  assert.equal(answered, 500);
+  assert.deepEqual(others, {refused: 0, cut: 0, 'timed-out': 0});
+  assert.deepEqual(world.broken, []);
+  // Two waits of 1.5 s all the time for 13 s, and some reads of the start.
+  assert.ok(world.store.calls - callsBefore <= 25, String(world.store.calls));
+});
+
+test('a flow stays at its server when the daemons that forwarded it are gone', async () => {
+  const world = await createWorld();
+  const callers = Array.from({length: 11}, () =>
+    world.call(PAY, 300, LONG_CALL_MS),
+  );
+  await world.clock.advance(500);
+  world.killDaemon('d0');
+  world.killDaemon('d1');
+  await world.startDaemon('d0');
+  await world.clock.advance(12_000);
+  assert.deepEqual(world.broken, []);
+  assert.equal(world.tally.ends.answered, callers.length);
+});
+
+test('rolling stops of all daemons lose no packet of an open flow', async () => {
+  const world = await createWorld({daemons: 6});
+  Array.from({length: 11}, () => world.call(PAY, 300, LONG_CALL_MS));
+  const names = [...world.daemons.keys()];
+  const stops = names.map(async (name, index) => {
+    await new Promise<void>(resolve => {
+      world.clock.callAt(world.clock.now() + index * 1_000, resolve);
+    });
+    await world.stopDaemon(name);
+    await world.startDaemon(name);
+  });
+  await world.clock.advance(18_000);
+  await Promise.all(stops);
+  assert.deepEqual(world.broken, []);
+  assert.deepEqual(world.tally.ends, {
+    answered: 11,
+    refused: 0,
+    cut: 0,
+    'timed-out': 0,
+  });
+});
+
+test('a new version is in force everywhere although both readers die', async () => {
+  const world = await createWorld();
+  await world.clock.advance(2_000);
+  const readers = [...world.daemons.keys()].slice(0, 2);
+  readers.forEach(name => world.killDaemon(name));
+  world.publish([PAY]);
+  await world.clock.advance(BOUNDS.configurationMs);
+  const versions = [...world.daemons.values()].flatMap(({running}) =>
+    running === undefined ? [] : [running.catalog.stamp.routeVersion],
+  );
+  assert.deepEqual(versions, [2, 2, 2]);
+});
+
+test('a daemon cut off from the store hears of a new version from peers', async () => {
+  const world = await createWorld();
+  [...world.daemons.keys()]
+    .slice(1)
+    .forEach(name => world.store.outages.set(name, OutageKind.SILENT));
+  await world.clock.advance(500);
+  world.publish([PAY]);
+  await world.clock.advance(BOUNDS.configurationMs);
+  world.daemons.forEach(({running}) =>
+    assert.equal(running?.catalog.stamp.routeVersion, 2),
+  );
+});
+
+test('a daemon cut off from its peers reads the store by itself', async () => {
+  const world = await createWorld();
+  world.cutFromPeers('d4', true);
+  world.publish([PAY]);
+  await world.clock.advance(3_500);
+  const {running} = world.daemonOf('d4');
+  assert.equal(running?.catalog.stamp.routeVersion, 2);
+});
+
+test('history that is forgotten costs a read and no version', async () => {
+  const world = await createWorld();
+  world.store.forgetHistory();
+  world.publish([PAY]);
+  world.store.forgetHistory();
+  await world.clock.advance(1_000);
+  world.daemons.forEach(({running}) =>
+    assert.equal(running?.catalog.stamp.routeVersion, 2),
+  );
+});
+
+test('entries that lapse while the store is down keep their servers', async () => {
+  const world = await createWorld();
+  Array.from({length: 11}, () => world.call(PAY, 220, LONG_CALL_MS));
+  await world.clock.advance(300);
+  world.store.outages.set('', OutageKind.BUSY);
+  await world.clock.advance(3_000);
+  const lapsed = world.liveServers('pay').slice(0, 4);
+  lapsed.forEach(({entry}) => world.store.removeServer(entry.id));
+  await world.clock.advance(500);
+  world.store.outages.clear();
+  await world.clock.advance(1_500);
+  lapsed.forEach(({entry}) => world.store.putServer(entry));
+  await world.clock.advance(8_000);
+  assert.deepEqual(world.broken, []);
+  assert.equal(world.tally.ends.answered, 11);
+});
+
+test('a flow whose server has ended for certain is reset, so that the caller comes again', async () => {
+  const world = await createWorld();
+  const callers = Array.from({length: 12}, () =>
+    world.call(PAY, 1_000, LONG_CALL_MS),
+  );
+  await world.clock.advance(500);
+  const [ended] = world.liveServers('pay');
+  const affected = callers.filter(({server}) => server === ended.entry.id);
+  world.crashServer(ended, true, 2_300);
+  await world.clock.advance(8_000);
+  assert.ok(affected.length > 0);
+  assert.equal(world.tally.ends.cut, affected.length);
+  assert.deepEqual(world.broken, []);
+});
+
+test('openings go around servers that are silent or refuse', async () => {
+  const world = await createWorld();
+  await callFor(world, 1_000);
+  const [silent, refusing] = world.liveServers('pay');
+  world.crashServer(silent, true, 2_300);
+  world.crashServer(refusing, false, 2_300);
+  const before = world.tally.ends.refused;
+  await callFor(world, 2_000);
+  await world.clock.advance(3_000);
+  // Each daemon may lose one opening before it knows; peers tell of the rest.
+  assert.ok(world.tally.ends.refused - before <= 8, 'refused too often');
+  assert.deepEqual(world.broken, []);
+});
+
+const FAULTS = fc.array(
+  fc.record({
+    afterMs: fc.integer({min: 50, max: 1_500}),
+    kind: fc.constantFrom(
+      'kill',
+      'stop',
+      'cut-peers',
+      'cut-store',
+      'store-down',
+      'store-slow',
+      'forget',
+      'drain',
+      'crash',
+      'reuse',
+      'add',
+      'routes',
+    ),
+    which: fc.nat(7),
+    lastsMs: fc.integer({min: 200, max: 4_000}),
+  }),
+  {minLength: 2, maxLength: 8},
+);
+
+type Fault = {
+  kind: string;
+  which: number;
+  lastsMs: number;
+  afterMs: number;
+};
+
+/** Brings a fault about and has it end by itself. */
+function strike(world: CookieWorld, fault: Fault): void {
+  const names = [...world.daemons.keys()];
+  const name = names[fault.which % names.length];
+  const later = (task: () => void) =>
+    world.clock.callAt(world.clock.now() + fault.lastsMs, task);
+  const servers = world.liveServers(fault.which % 3 === 0 ? 'docs' : 'pay');
+  const server = servers[fault.which % Math.max(1, servers.length)];
+  const spare = servers.length > 1;
+  const strikes: Record<string, () => void> = {
+    kill: () => {
+      world.killDaemon(name);
+      later(() => void world.startDaemon(name));
+    },
+    stop: () => void world.stopDaemon(name).then(() => world.startDaemon(name)),
+    'cut-peers': () => {
+      world.cutFromPeers(name, true);
+      later(() => world.cutFromPeers(name, false));
+    },
+    'cut-store': () => {
+      world.store.outages.set(name, OutageKind.SILENT);
+      later(() => world.store.outages.delete(name));
+    },
+    'store-down': () => {
+      world.store.outages.set('', OutageKind.REFUSED);
+      later(() => world.store.outages.delete(''));
+    },
+    'store-slow': () => {
+      world.store.answerMs = 300;
+      later(() => {
+        world.store.answerMs = 4;
+      });
+    },
+    forget: () => world.store.forgetHistory(),
+    drain: () => {
+      if (spare) {
+        world.drainServer(server, 4_000);
+        world.startServer(server.entry.service);
+      }
+    },
+    crash: () => {
+      if (spare) {
+        world.crashServer(server, fault.lastsMs % 2 === 0, 2_300);
+      }
+    },
+    reuse: () => {
+      if (spare) {
+        world.crashServer(server, true, 2_300);
+        const other = server.entry.service === 'pay' ? 'docs' : 'pay';
+        later(() => world.startServer(other, server.entry.address));
+      }
+    },
+    add: () => void world.startServer('pay'),
+    routes: () =>
+      world.publish(world.publishedRoutes.length > 1 ? [PAY] : [PAY, DOCS]),
+  };
+  strikes[fault.kind]();
+}
+
+test('no promise is broken under any mix of faults', async () => {
+  const hasher = await XxhashHasher.create();
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({min: 1, max: 1e6}),
+      FAULTS,
+      async (seed, faults) => {
+        const world = await CookieWorld.create({...PLAN, seed}, hasher);
+        for (const fault of faults) {
+          await callFor(world, fault.afterMs, 50);
+          strike(world, fault);
+        }
+        await callFor(world, 5_000, 50);
+        const flows = world.broken.filter(
+          ({promise}) => promise !== 'configuration' && promise !== 'drain',
+        );
+        // Bounds in time hold while the store answers and peers are in touch.
+        const isSteady = faults.every(({kind}) =>
+          [
+            'add',
+            'crash',
+            'drain',
+            'forget',
+            'reuse',
+            'routes',
+            'stop',
+          ].includes(kind),
+        );
+        assert.deepEqual(isSteady ? world.broken : flows, []);
+      },
+    ),
+    {seed: 11, numRuns: Number(process.env['WELDYARD_FUZZ_RUNS'] ?? 25)},
+  );
+});
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -22,7 +22,7 @@
   type CookieRefusal,
 } from '../routing/cookie-router.js';
 import {formatIpv4} from '../routing/ipv4.js';
-import {LightestPlacement} from '../routing/placement.js';
+import {LightestPlacement, type Placement} from '../routing/placement.js';
 import type {Random} from '../routing/random.js';
 import {ServerWorkLedger} from '../routing/server-work.js';
 import {PlannedStop} from './planned-stop.js';
@@ -39,6 +39,8 @@
   readonly random: Random;
   readonly counters: Counters;
   readonly log: Log;
+  /** How new flows are placed; the lightest server if undefined. */
+  readonly placement?: Placement;
 }
 
 /** One running daemon. */
@@ -65,7 +67,7 @@
     this.router = CookieRouter.create({
       catalog: this.catalog,
       work: this.work,
-      placement: LightestPlacement.create(),
+      placement: options.placement ?? LightestPlacement.create(),
       clock,
       random,
       onSilent: ({id}) => this.noteSilent(id),
--- /dev/null
+++ b/src/routing/cookie-router.spec.ts
@@ -0,0 +1,212 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {XxhashHasher} from '../adapters/xxhash-hasher.js';
+import {Catalog} from '../catalog/catalog.js';
+import type {CatalogServer, ServerState} from '../catalog/records.js';
+import type {CookiePacket} from '../ports/cookie-fabric.js';
+import {FakeClock} from '../../standins/fake-clock.js';
+import {CookieRouter, type CookieDecision} from './cookie-router.js';
+import {LightestPlacement} from './placement.js';
+import {Random} from './random.js';
+import {ServerWorkLedger} from './server-work.js';
+
+const hasher = await XxhashHasher.create();
+const ADDRESS = 0xc6120001;
+const ROUTE = {
+  address: ADDRESS,
+  port: 443,
+  shares: [{service: 'pay', weight: 1}],
+};
+
+function serverOf(
+  id: string,
+  service = 'pay',
+  state: ServerState = 'ready',
+  address = 9,
+): CatalogServer {
+  return {
+    id,
+    service,
+    address,
+    port: 80,
+    failureDomain: 'a',
+    slots: 2,
+    state,
+    coldUntil: 0,
+    createdRevision: 1,
+    revision: 1,
+  };
+}
+
+function createRouter(servers: readonly CatalogServer[]) {
+  const clock = FakeClock.create();
+  const catalog = Catalog.create({hasher, flowLifetimeMs: 60_000});
+  const work = ServerWorkLedger.create(hasher);
+  const silent: string[] = [];
+  catalog.takeServers({revision: 1, servers}, clock.now());
+  catalog.takeRoutes({version: 1, routes: [ROUTE]}, clock.now());
+  const router = CookieRouter.create({
+    catalog,
+    work,
+    placement: LightestPlacement.create(),
+    clock,
+    random: Random.create(3),
+    onSilent: ({id}) => silent.push(id),
+  });
+  return {clock, catalog, work, router, silent};
+}
+
+function packetOf(part: Partial<CookiePacket> = {}): CookiePacket {
+  return {
+    sourceAddress: 1,
+    sourcePort: 1_000,
+    destinationAddress: ADDRESS,
+    destinationPort: 443,
+    opens: false,
+    closes: false,
+    resets: false,
+    cookie: 0,
+    sequence: 0,
+    acknowledged: 0,
+    openCopy: 0,
+    dataLength: 0,
+    bytes: new Uint8Array(0),
+    ...part,
+  };
+}
+
+function serverIn(decision: CookieDecision): string {
+  return decision.verdict === 'forward' ? decision.server.id : decision.reason;
+}
+
+function cookieIn(decision: CookieDecision): number {
+  return decision.verdict === 'forward' ? decision.cookie : 0;
+}
+
+test("a copy of an opening goes to another server, a late copy to the flow's own", () => {
+  const {router} = createRouter([serverOf('i-1'), serverOf('i-2')]);
+  const first = router.decide(packetOf({opens: true}));
+  const second = router.decide(packetOf({opens: true, openCopy: 1}));
+  assert.notEqual(serverIn(first), serverIn(second));
+  router.decide(packetOf({cookie: cookieIn(first)}));
+  const late = router.decide(packetOf({opens: true, openCopy: 2}));
+  assert.equal(serverIn(late), serverIn(first));
+});
+
+test('a flow stays at the server that its first packet named, whatever cookie comes later', () => {
+  const {router} = createRouter([serverOf('i-1'), serverOf('i-2')]);
+  const first = router.decide(packetOf({opens: true}));
+  const second = router.decide(packetOf({opens: true, openCopy: 1}));
+  router.decide(packetOf({cookie: cookieIn(first)}));
+  const later = router.decide(packetOf({cookie: cookieIn(second)}));
+  assert.equal(serverIn(later), serverIn(first));
+});
+
+test('any daemon follows a cookie that it has never given out', () => {
+  const servers = [serverOf('i-1'), serverOf('i-2')];
+  const opened = createRouter(servers).router.decide(packetOf({opens: true}));
+  const other = createRouter(servers).router;
+  const followed = other.decide(packetOf({cookie: cookieIn(opened)}));
+  assert.equal(serverIn(followed), serverIn(opened));
+});
+
+test('cookies of nobody and of another service are dropped, never answered', () => {
+  const {router, catalog} = createRouter([
+    serverOf('i-1'),
+    serverOf('i-9', 'docs'),
+  ]);
+  const foreign = catalog.cookieOf(serverOf('i-9', 'docs')) ?? 0;
+  [0, 12_345, foreign].forEach(cookie =>
+    assert.deepEqual(router.decide(packetOf({cookie})), {
+      verdict: 'drop',
+      reason: 'unknown-cookie',
+    }),
+  );
+});
+
+test('draining servers get no openings and keep their flows', () => {
+  const {router, catalog} = createRouter([
+    serverOf('i-1', 'pay', 'draining'),
+    serverOf('i-2'),
+  ]);
+  const openings = Array.from({length: 20}, (_flow, index) =>
+    serverIn(router.decide(packetOf({opens: true, sourcePort: index}))),
+  );
+  assert.deepEqual([...new Set(openings)], ['i-2']);
+  const cookie = catalog.cookieOf(serverOf('i-1')) ?? 0;
+  assert.equal(serverIn(router.decide(packetOf({cookie}))), 'i-1');
+});
+
+test('what the catalog does not hold is refused while it is current, and dropped when it is old', async () => {
+  const {router, clock} = createRouter([serverOf('i-1')]);
+  const stranger = packetOf({opens: true, destinationPort: 80});
+  assert.deepEqual(router.decide(stranger), {
+    verdict: 'reset',
+    reason: 'no-route',
+  });
+  await clock.advance(5_000);
+  assert.deepEqual(router.decide(stranger), {
+    verdict: 'drop',
+    reason: 'no-route',
+  });
+});
+
+test("a caller's own reset is never answered with a reset", () => {
+  const {router} = createRouter([serverOf('i-1')]);
+  const given = router.decide(packetOf({resets: true, destinationPort: 80}));
+  assert.equal(given.verdict, 'drop');
+});
+
+test('flows of a moved route stay, also at a daemon that learns of it from a peer', () => {
+  const {router, catalog, clock} = createRouter([
+    serverOf('i-1'),
+    serverOf('i-9', 'docs'),
+  ]);
+  const opened = router.decide(packetOf({opens: true}));
+  const moved = {...ROUTE, shares: [{service: 'docs', weight: 1}]};
+  catalog.takeRoutes({version: 2, routes: [moved]}, clock.now());
+  const kept = router.decide(packetOf({cookie: cookieIn(opened)}));
+  assert.equal(serverIn(kept), 'i-1');
+  const fresh = router.decide(packetOf({opens: true, sourcePort: 7}));
+  assert.equal(serverIn(fresh), 'i-9');
+});
+
+test('silence of most servers counts for nothing', () => {
+  const {router, work, clock} = createRouter([
+    serverOf('i-1'),
+    serverOf('i-2'),
+    serverOf('i-3'),
+  ]);
+  work.noteUnanswered('i-1', clock.now());
+  const around = Array.from({length: 30}, (_flow, index) =>
+    serverIn(router.decide(packetOf({opens: true, sourcePort: index}))),
+  );
+  assert.equal(around.includes('i-1'), false);
+  work.noteUnanswered('i-2', clock.now());
+  const all = Array.from({length: 30}, (_flow, index) =>
+    serverIn(router.decide(packetOf({opens: true, sourcePort: 100 + index}))),
+  );
+  assert.equal(new Set(all).size, 3);
+});
+
+test('a packet of data sent again is a sign against its server', () => {
+  const {router, silent} = createRouter([serverOf('i-1'), serverOf('i-2')]);
+  const opened = router.decide(packetOf({opens: true}));
+  const data = packetOf({
+    cookie: cookieIn(opened),
+    dataLength: 10,
+    sequence: 5,
+  });
+  router.decide(data);
+  assert.deepEqual(silent, []);
+  router.decide(data);
+  assert.deepEqual(silent, [serverIn(opened)]);
+});
+
+test('an older version of the routes changes nothing', () => {
+  const {catalog, clock} = createRouter([serverOf('i-1')]);
+  catalog.takeRoutes({version: 5, routes: [ROUTE]}, clock.now());
+  catalog.takeRoutes({version: 4, routes: []}, clock.now());
+  assert.equal(catalog.stamp.routeVersion, 5);
+  assert.equal(catalog.allRoutes().length, 1);
+});
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -173,7 +173,8 @@
       .filter(({id}) => work.hasRefused(id, now))
       .forEach(server => this.noteUnanswered(server, now));
     const answering = servers.filter(({id}) => !work.isSilent(id, now));
-    const trusted = answering.length * 2 >= servers.length ? answering : servers;
+    const trusted =
+      answering.length * 2 >= servers.length ? answering : servers;
     const untried = trusted.filter(
       ({id}) => !tried.some(server => server.id === id),
     );
--- /dev/null
+++ b/standins/catalog-store.ts
@@ -0,0 +1,252 @@
+/**
+ * A store that publishes routes and servers, in memory: revisions, waits for
+ * events, history that is forgotten, and outages for some or all daemons.
+ */
+import {ResultAsync, err, ok, type Result} from 'neverthrow';
+import type {
+  CatalogEvents,
+  CatalogServer,
+  RouteListing,
+} from '../src/catalog/records.js';
+import {
+  CatalogSource,
+  SourceFailure,
+  SourceFailureKind,
+  type CatalogReading,
+} from '../src/ports/catalog-source.js';
+import type {Clock} from '../src/ports/clock.js';
+
+/** Time of an answer, in milliseconds, as the users' store takes. */
+const ANSWER_MS = 4;
+
+/** How a call ends while the store is out of reach. */
+export const OutageKind = {
+  SILENT: 'silent',
+  REFUSED: 'refused',
+  BUSY: 'busy',
+} as const;
+/** One of the kinds in `OutageKind`. */
+export type OutageKind = (typeof OutageKind)[keyof typeof OutageKind];
+
+interface StoredEvent {
+  readonly revision: number;
+  readonly routes?: RouteListing;
+  readonly written?: CatalogServer;
+  readonly removed?: string;
+}
+
+/** The store; daemons reach it through sources. */
+export class CatalogStore {
+  /** Reads and waits that arrived, refused ones included. */
+  calls = 0;
+  /** Outages by the daemon that they meet; '' meets all. */
+  readonly outages = new Map<string, OutageKind>();
+  /** Milliseconds until an answer leaves. */
+  answerMs = ANSWER_MS;
+  private revision = 1;
+  private routes: RouteListing | undefined;
+  private readonly servers = new Map<string, CatalogServer>();
+  private events: StoredEvent[] = [];
+  private forgottenUpTo = 0;
+  private readonly waiting = new Set<() => void>();
+
+  private constructor(readonly clock: Clock) {}
+
+  /** Creates an empty store. */
+  static create(clock: Clock): CatalogStore {
+    return new CatalogStore(clock);
+  }
+
+  /** Publishes a version of the routes. */
+  putRoutes(routes: RouteListing): void {
+    this.revision += 1;
+    this.routes = routes;
+    this.note({revision: this.revision, routes});
+  }
+
+  /** Writes a server's entry. */
+  putServer(
+    server: Omit<CatalogServer, 'revision' | 'createdRevision'>,
+  ): CatalogServer {
+    this.revision += 1;
+    const known = this.servers.get(server.id);
+    const {revision} = this;
+    const createdRevision = known?.createdRevision ?? revision;
+    const written = {...server, revision, createdRevision};
+    this.servers.set(server.id, written);
+    this.note({revision, written});
+    return written;
+  }
+
+  /** Removes a server's entry. */
+  removeServer(id: string): void {
+    if (this.servers.delete(id)) {
+      this.revision += 1;
+      this.note({revision: this.revision, removed: id});
+    }
+  }
+
+  /** The entry of a server. */
+  serverOf(id: string): CatalogServer | undefined {
+    return this.servers.get(id);
+  }
+
+  /** Forgets all events up to now. */
+  forgetHistory(): void {
+    this.forgottenUpTo = this.revision;
+    this.events = [];
+    this.wake();
+  }
+
+  /** What a daemon's call meets now. */
+  outageOf(daemon: string): OutageKind | undefined {
+    return this.outages.get(daemon) ?? this.outages.get('');
+  }
+
+  /** Everything as it is now. */
+  read(): CatalogReading {
+    const {revision, routes} = this;
+    return {routes, servers: {revision, servers: [...this.servers.values()]}};
+  }
+
+  /** Events after a revision; undefined when they are no longer kept. */
+  eventsAfter(revision: number): CatalogEvents | undefined {
+    if (revision < this.forgottenUpTo) {
+      return undefined;
+    }
+    const events = this.events.filter(event => event.revision > revision);
+    return {
+      revision: this.revision,
+      routes: events.flatMap(({routes}) => routes ?? []).pop(),
+      written: events.flatMap(({written}) => written ?? []),
+      removed: events.flatMap(({removed, revision: at}) =>
+        removed === undefined ? [] : [{id: removed, revision: at}],
+      ),
+    };
+  }
+
+  /** Calls a task with the next event. */
+  onNext(task: () => void): () => void {
+    this.waiting.add(task);
+    return () => this.waiting.delete(task);
+  }
+
+  private note(event: StoredEvent): void {
+    this.events.push(event);
+    this.wake();
+  }
+
+  private wake(): void {
+    const tasks = [...this.waiting];
+    this.waiting.clear();
+    tasks.forEach(task => task());
+  }
+}
+
+/** One daemon's way to the store. */
+export class MemoryCatalogSource extends CatalogSource {
+  private isClosed = false;
+
+  private constructor(
+    private readonly daemon: string,
+    private readonly store: CatalogStore,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  /** Creates a source; `clock` is the daemon's. */
+  static create(
+    daemon: string,
+    store: CatalogStore,
+    clock: Clock,
+  ): MemoryCatalogSource {
+    return new MemoryCatalogSource(daemon, store, clock);
+  }
+
+  readAll(deadline: number): ResultAsync<CatalogReading, SourceFailure> {
+    return new ResultAsync(
+      this.call('read', deadline, async () => ok(this.store.read())),
+    );
+  }
+
+  awaitEvents(
+    revision: number,
+    deadline: number,
+  ): ResultAsync<CatalogEvents, SourceFailure> {
+    const wait = async (): Promise<Result<CatalogEvents, SourceFailure>> => {
+      const now = this.store.eventsAfter(revision);
+      const isNews = now === undefined || now.revision > revision;
+      if (!isNews) {
+        await this.nextEventOr(deadline);
+      }
+      const events = this.store.eventsAfter(revision);
+      return events === undefined
+        ? err(failure(SourceFailureKind.HISTORY_LOST, 'wait'))
+        : ok(events);
+    };
+    // The call itself may take a little longer than the wait.
+    return new ResultAsync(this.call('wait', deadline + 400, wait));
+  }
+
+  close(): void {
+    this.isClosed = true;
+  }
+
+  private nextEventOr(deadline: number): Promise<void> {
+    return new Promise(resolve => {
+      const forget = this.store.onNext(() => resolve());
+      this.clock.callAt(deadline, () => {
+        forget();
+        resolve();
+      });
+    });
+  }
+
+  /** A call that meets an outage at its start or at its end has no answer. */
+  private async call<T>(
+    name: string,
+    deadline: number,
+    run: () => Promise<Result<T, SourceFailure>>,
+  ): Promise<Result<T, SourceFailure>> {
+    this.store.calls += 1;
+    const before = await this.meetOutage<T>(name, deadline);
+    if (before !== undefined) {
+      return before;
+    }
+    const result = await run();
+    await this.sleepUntil(this.clock.now() + this.store.answerMs);
+    if (this.clock.now() > deadline) {
+      return err(failure(SourceFailureKind.SILENT, name));
+    }
+    return (await this.meetOutage<T>(name, deadline)) ?? result;
+  }
+
+  private async meetOutage<T>(
+    name: string,
+    deadline: number,
+  ): Promise<Result<T, SourceFailure> | undefined> {
+    const outage = this.store.outageOf(this.daemon);
+    if (this.isClosed || outage === OutageKind.REFUSED) {
+      return err(failure(SourceFailureKind.DISCONNECTED, name));
+    }
+    if (outage === OutageKind.BUSY) {
+      return err(failure(SourceFailureKind.UNAVAILABLE, name));
+    }
+    if (outage === OutageKind.SILENT) {
+      await this.sleepUntil(deadline);
+      return err(failure(SourceFailureKind.SILENT, name));
+    }
+    return undefined;
+  }
+
+  private sleepUntil(deadline: number): Promise<void> {
+    return new Promise(resolve => {
+      this.clock.callAt(deadline, resolve);
+    });
+  }
+}
+
+function failure(kind: SourceFailureKind, call: string): SourceFailure {
+  return SourceFailure.create(kind, call, kind);
+}
--- /dev/null
+++ b/standins/cookie-world.ts
@@ -0,0 +1,503 @@
+/**
+ * A platform whose packets carry cookies, in memory and on virtual time: a
+ * router that checks readiness, daemons, servers, callers and the store, with
+ * faults to order. It keeps a list of every promise that it saw broken.
+ */
+import {MemoryCounters} from '../src/adapters/memory-counters.js';
+import {
+  ServerState,
+  type CatalogRoute,
+  type CatalogServer,
+  type RouteListing,
+} from '../src/catalog/records.js';
+import {EntryDaemon} from '../src/entry/entry-daemon.js';
+import type {EntrySettings} from '../src/entry/settings.js';
+import {CookieFabric, type CookiePacket} from '../src/ports/cookie-fabric.js';
+import type {Hasher} from '../src/ports/hasher.js';
+import {destinationKey} from '../src/routing/flow-key.js';
+import type {Placement} from '../src/routing/placement.js';
+import {Random} from '../src/routing/random.js';
+import {CatalogStore, MemoryCatalogSource} from './catalog-store.js';
+import {CallEnd, CookieCaller, flowName} from './cookie-callers.js';
+import {CookieServer, type ServerPacket} from './cookie-servers.js';
+import {FakeClock, ProcessClock} from './fake-clock.js';
+import {ChannelNetwork, MemoryChannel} from './memory-channel.js';
+import {MemoryLog, type LoggedLine} from './memory-log.js';
+
+/** One way between any two processes, in milliseconds. */
+const WAY_MS = 1;
+const CHECK_MS = 500;
+const MISSES_BEFORE_OUT = 2;
+const FIRST_DAEMON_ADDRESS = 0x0a000001;
+const FIRST_SERVER_ADDRESS = 0x0a800001;
+const FIRST_CALLER_ADDRESS = 0x64400001;
+const SERVER_PORT = 8_080;
+/** Stray packets of one flow from which a flow counts as broken. */
+const STRAY_LIMIT = 3;
+const QUEUE_LENGTH = 8;
+
+/** Bounds that the world holds daemons to, in milliseconds. */
+export interface WorldBounds {
+  readonly drainMs: number;
+  readonly configurationMs: number;
+}
+
+/** How the world is laid out. */
+export interface WorldPlan {
+  readonly seed: number;
+  readonly daemons: number;
+  readonly failureDomains: readonly string[];
+  readonly services: ReadonlyArray<{
+    name: string;
+    servers: number;
+    slots: number;
+    workMs: number;
+  }>;
+  readonly routes: readonly CatalogRoute[];
+  readonly bounds: WorldBounds;
+  /** How daemons place; the usual way if undefined. */
+  readonly placement?: Placement;
+}
+
+/** A promise that was seen broken. */
+export interface BrokenPromise {
+  readonly promise: 'route' | 'drain' | 'configuration' | 'flow' | 'reset';
+  readonly atMs: number;
+  readonly detail: string;
+}
+
+/** One daemon, running or not. */
+export interface WorldDaemon {
+  readonly settings: EntrySettings;
+  running: EntryDaemon | undefined;
+  clock: ProcessClock;
+  fabric: WorldFabric;
+  misses: number;
+  isIn: boolean;
+}
+
+/** Callers' ends by kind, and how long answered ones took. */
+export interface CallTally {
+  readonly ends: Record<CallEnd, number>;
+  readonly tookMs: number[];
+}
+
+/** The world. */
+export class CookieWorld {
+  readonly clock = FakeClock.create();
+  readonly random: Random;
+  readonly store: CatalogStore;
+  readonly network: ChannelNetwork;
+  readonly daemons = new Map<string, WorldDaemon>();
+  readonly lines: LoggedLine[] = [];
+  readonly broken: BrokenPromise[] = [];
+  readonly tally: CallTally = {
+    ends: {answered: 0, refused: 0, cut: 0, 'timed-out': 0},
+    tookMs: [],
+  };
+  private readonly servers = new Map<string, CookieServer>();
+  private readonly occupants = new Map<number, CookieServer>();
+  private readonly drainingSince = new Map<string, number>();
+  private readonly callers = new Map<string, CookieCaller>();
+  private readonly strays = new Map<string, number>();
+  private readonly allowed = new Map<number, Set<string>>();
+  private readonly removedRoutes = new Map<number, number>();
+  private routes: RouteListing = {version: 0, routes: []};
+  private serverCount = 0;
+  private callerCount = 0;
+
+  private constructor(
+    private readonly plan: WorldPlan,
+    private readonly hasher: Hasher,
+  ) {
+    this.random = Random.create(plan.seed);
+    this.store = CatalogStore.create(this.clock);
+    this.network = ChannelNetwork.create(this.clock, this.random);
+  }
+
+  /** Creates a world whose daemons run and whose routes are published. */
+  static async create(plan: WorldPlan, hasher: Hasher): Promise<CookieWorld> {
+    const world = new CookieWorld(plan, hasher);
+    plan.services.forEach(service =>
+      Array.from({length: service.servers}, () =>
+        world.startServer(service.name),
+      ),
+    );
+    world.publish(plan.routes);
+    Array.from({length: plan.daemons}, (_daemon, index) =>
+      world.addDaemon(index),
+    );
+    await Promise.all(
+      [...world.daemons.keys()].map(name => world.startDaemon(name, true)),
+    );
+    world.checkReadiness();
+    await world.clock.advance(4_000);
+    return world;
+  }
+
+  /** Publishes a new version of the routes. */
+  publish(routes: readonly CatalogRoute[]): void {
+    const kept = new Set(routes.map(keyOf));
+    this.routes.routes
+      .map(keyOf)
+      .filter(key => !kept.has(key))
+      .forEach(key => this.removedRoutes.set(key, this.clock.now()));
+    kept.forEach(key => this.removedRoutes.delete(key));
+    routes.forEach(route => {
+      const services = this.allowed.get(keyOf(route)) ?? new Set<string>();
+      route.shares.forEach(({service}) => services.add(service));
+      this.allowed.set(keyOf(route), services);
+    });
+    this.routes = {version: this.routes.version + 1, routes};
+    this.store.putRoutes(this.routes);
+  }
+
+  /** The routes in force. */
+  get publishedRoutes(): readonly CatalogRoute[] {
+    return this.routes.routes;
+  }
+
+  /** Starts a server; at the address of one that has ended, if told. */
+  startServer(service: string, address?: number): CookieServer {
+    this.serverCount += 1;
+    const plan = this.plan.services.find(({name}) => name === service);
+    const entry = this.store.putServer({
+      id: `s-${this.serverCount.toString(16).padStart(8, '0')}`,
+      service,
+      address: address ?? FIRST_SERVER_ADDRESS + this.serverCount,
+      port: SERVER_PORT,
+      failureDomain: this.domainOf(this.serverCount),
+      slots: plan?.slots ?? 1,
+      state: ServerState.READY,
+      coldUntil: this.clock.now(),
+    });
+    const server = CookieServer.create({
+      entry,
+      clock: this.clock,
+      workMs: plan?.workMs ?? 1,
+      queueLength: QUEUE_LENGTH,
+      send: packet => this.sendToCaller(packet),
+    });
+    this.servers.set(entry.id, server);
+    this.occupants.set(entry.address, server);
+    return server;
+  }
+
+  /** Servers of a service that neither drain nor have ended. */
+  liveServers(service: string): CookieServer[] {
+    return [...this.servers.values()].filter(
+      ({entry, hasCrashed, state}) =>
+        entry.service === service && !hasCrashed && state === ServerState.READY,
+    );
+  }
+
+  /** Has a server drain, and end `afterMs` later. */
+  drainServer(server: CookieServer, afterMs: number): void {
+    server.state = ServerState.DRAINING;
+    this.store.putServer({...server.entry, state: ServerState.DRAINING});
+    this.drainingSince.set(server.entry.id, this.clock.now());
+    this.clock.callAt(this.clock.now() + afterMs, () => {
+      server.crash(false);
+      this.store.removeServer(server.entry.id);
+    });
+  }
+
+  /** Ends a server unplanned; its entry lapses `lapseMs` later. */
+  crashServer(server: CookieServer, silent: boolean, lapseMs: number): void {
+    server.crash(silent);
+    this.clock.callAt(this.clock.now() + lapseMs, () =>
+      this.store.removeServer(server.entry.id),
+    );
+  }
+
+  /** Starts a daemon that does not run. */
+  async startDaemon(name: string, isFirstStart = false): Promise<void> {
+    const daemon = this.daemonOf(name);
+    daemon.clock = ProcessClock.create(this.clock);
+    daemon.fabric = WorldFabric.create(this, name);
+    const {clock, fabric} = daemon;
+    const settings = {...daemon.settings, isFirstStart};
+    const {address} = settings;
+    daemon.running = EntryDaemon.create({
+      settings,
+      clock,
+      fabric,
+      hasher: this.hasher,
+      random: Random.create(this.random.below(1_000_000)),
+      counters: MemoryCounters.create(),
+      log: MemoryLog.create(name, this.lines),
+      channel: MemoryChannel.create(address, this.network, clock),
+      source: MemoryCatalogSource.create(name, this.store, clock),
+      placement: this.plan.placement,
+    });
+    await daemon.running.run();
+  }
+
+  /** Kills a daemon: it is gone from one moment to the next. */
+  killDaemon(name: string): void {
+    const daemon = this.daemonOf(name);
+    daemon.running = undefined;
+    daemon.clock.freeze();
+    daemon.fabric.close();
+    this.network.detach(daemon.settings.address);
+  }
+
+  /** Stops a daemon as planned; resolves when it has ended. */
+  async stopDaemon(name: string): Promise<void> {
+    const daemon = this.daemonOf(name);
+    const {running} = daemon;
+    await running?.stop();
+    if (daemon.running === running) {
+      daemon.running = undefined;
+    }
+  }
+
+  /** Cuts a daemon off from its peers, or heals the cut. */
+  cutFromPeers(name: string, isCut: boolean): void {
+    const own = this.daemonOf(name).settings.address;
+    this.daemons.forEach(({settings}) => {
+      const ways = [`${own}>${settings.address}`, `${settings.address}>${own}`];
+      ways.forEach(way =>
+        isCut ? this.network.cut.add(way) : this.network.cut.delete(way),
+      );
+    });
+  }
+
+  /** A daemon by name. */
+  daemonOf(name: string): WorldDaemon {
+    const daemon = this.daemons.get(name);
+    if (daemon === undefined) {
+      throw new Error(`no daemon ${name} in this world`);
+    }
+    return daemon;
+  }
+
+  /** Starts a caller with some requests on one flow. */
+  call(route: CatalogRoute, requests: number, limitMs: number): CookieCaller {
+    this.callerCount += 1;
+    const startedAt = this.clock.now();
+    const caller = CookieCaller.create({
+      clock: this.clock,
+      sourceAddress: FIRST_CALLER_ADDRESS + (this.callerCount % 50),
+      sourcePort: 1_024 + (this.callerCount % 60_000),
+      destinationAddress: route.address,
+      destinationPort: route.port,
+      requests,
+      deadline: startedAt + limitMs,
+      send: packet => this.sendToFabric(packet),
+      onEnd: end => this.noteEnd(end, startedAt),
+    });
+    this.callers.set(caller.flow, caller);
+    return caller;
+  }
+
+  /** Hands a daemon's packet over to the server that it means. */
+  deliverToServer(
+    packet: CookiePacket,
+    meant: CatalogServer,
+    cookie: number,
+  ): void {
+    this.after(() => {
+      const server = this.occupants.get(meant.address);
+      if (server === undefined || server.entry.id !== meant.id) {
+        this.noteStray(packet, meant.id);
+        return;
+      }
+      this.judge(packet, server);
+      server.receive(flowName(packet), packet, cookie);
+    });
+  }
+
+  /** Hands a daemon's reset over to its caller. */
+  deliverReset(packet: CookiePacket, daemon: string): void {
+    this.after(() => {
+      const flow = flowName(packet);
+      const caller = this.callers.get(flow);
+      const owner = this.servers.get(caller?.server ?? '');
+      const routeIsThere = !this.removedRoutes.has(keyOfPacket(packet));
+      if (owner?.holds(flow) === true && !owner.isSilent && routeIsThere) {
+        this.note('reset', `${daemon} reset ${flow} of ${owner.entry.id}`);
+      }
+      caller?.receiveReset();
+    });
+  }
+
+  private addDaemon(index: number): void {
+    const name = `d${index}`;
+    const address = FIRST_DAEMON_ADDRESS + index;
+    const seeds = [0, 1, 2].map(offset => FIRST_DAEMON_ADDRESS + offset);
+    this.daemons.set(name, {
+      settings: {
+        name,
+        address,
+        failureDomain: this.domainOf(index),
+        fabricListen: '',
+        readinessListen: '',
+        peerPort: 0,
+        metricsPort: 0,
+        isFirstStart: true,
+        seeds,
+        storeAddress: '',
+        capacity: 500,
+        stopLimitMs: 6_000,
+        flowLifetimeMs: 60_000,
+        isCookieFabric: true,
+      },
+      running: undefined,
+      clock: ProcessClock.create(this.clock),
+      fabric: WorldFabric.create(this, name),
+      misses: 0,
+      isIn: false,
+    });
+  }
+
+  private domainOf(index: number): string {
+    const {failureDomains} = this.plan;
+    return failureDomains[index % failureDomains.length];
+  }
+
+  /** The router asks every daemon twice a second. */
+  private checkReadiness(): void {
+    this.daemons.forEach(daemon => {
+      const ready = daemon.running?.isReady() === true;
+      daemon.misses = ready ? 0 : daemon.misses + 1;
+      daemon.isIn = ready || (daemon.isIn && daemon.misses < MISSES_BEFORE_OUT);
+    });
+    this.clock.callAt(this.clock.now() + CHECK_MS, () => this.checkReadiness());
+  }
+
+  /** The router chooses among those that are in, by a hash of the flow. */
+  private sendToFabric(packet: CookiePacket): void {
+    const names = [...this.daemons]
+      .filter(([, {isIn}]) => isIn)
+      .map(([name]) => name);
+    const flow = flowName(packet);
+    const chosen = names
+      .map(name => ({name, score: this.hasher.hashText(`${name}/${flow}`, 5)}))
+      .reduce((best, next) => (next.score > best.score ? next : best), {
+        name: '',
+        score: -1,
+      });
+    this.after(() => this.daemons.get(chosen.name)?.fabric.deliver(packet));
+  }
+
+  private sendToCaller(packet: ServerPacket): void {
+    this.after(() => this.callers.get(packet.flow)?.receive(packet));
+  }
+
+  private after(task: () => void): void {
+    this.clock.callAt(this.clock.now() + WAY_MS, task);
+  }
+
+  private noteEnd(end: CallEnd, startedAt: number): void {
+    this.tally.ends[end] += 1;
+    if (end === CallEnd.ANSWERED) {
+      this.tally.tookMs.push(this.clock.now() - startedAt);
+    }
+  }
+
+  /** Checks the promises that a server's own eyes can check. */
+  private judge(packet: CookiePacket, server: CookieServer): void {
+    const {entry} = server;
+    const key = keyOfPacket(packet);
+    if (this.allowed.get(key)?.has(entry.service) !== true) {
+      this.note('route', `${flowName(packet)} reached ${entry.service}`);
+    }
+    if (packet.opens) {
+      this.judgeOpening(packet, entry, key);
+    } else if (!server.holds(flowName(packet))) {
+      this.noteStray(packet, entry.id);
+    } else {
+      this.strays.delete(flowName(packet));
+    }
+  }
+
+  private judgeOpening(
+    packet: CookiePacket,
+    entry: CatalogServer,
+    key: number,
+  ): void {
+    const now = this.clock.now();
+    const {drainMs, configurationMs} = this.plan.bounds;
+    const drainedAt = this.drainingSince.get(entry.id) ?? Infinity;
+    const removedAt = this.removedRoutes.get(key) ?? Infinity;
+    if (now - drainedAt > drainMs) {
+      this.note('drain', `${flowName(packet)} opened at ${entry.id}`);
+    }
+    if (now - removedAt > configurationMs) {
+      this.note('configuration', `${flowName(packet)} has no route any more`);
+    }
+  }
+
+  /** A packet of an open flow that did not go to its server. */
+  private noteStray(packet: CookiePacket, server: string): void {
+    const flow = flowName(packet);
+    const caller = this.callers.get(flow);
+    const owner = this.servers.get(caller?.server ?? '');
+    if (packet.opens || owner?.holds(flow) !== true) {
+      return;
+    }
+    const count = (this.strays.get(flow) ?? 0) + 1;
+    this.strays.set(flow, count);
+    if (count === STRAY_LIMIT) {
+      this.note('flow', `${flow} of ${owner.entry.id} went to ${server}`);
+    }
+  }
+
+  private note(promise: BrokenPromise['promise'], detail: string): void {
+    this.broken.push({promise, atMs: this.clock.now(), detail});
+  }
+}
+
+/** The fabric of one daemon. */
+export class WorldFabric extends CookieFabric {
+  private handle: ((packet: CookiePacket) => void) | undefined;
+  private isClosed = false;
+
+  private constructor(
+    private readonly world: CookieWorld,
+    private readonly daemon: string,
+  ) {
+    super();
+  }
+
+  /** Creates the fabric of a daemon. */
+  static create(world: CookieWorld, daemon: string): WorldFabric {
+    return new WorldFabric(world, daemon);
+  }
+
+  onPacket(handle: (packet: CookiePacket) => void): void {
+    this.handle = handle;
+  }
+
+  /** Hands a packet over; one that nobody takes is lost. */
+  deliver(packet: CookiePacket): void {
+    if (!this.isClosed) {
+      this.handle?.(packet);
+    }
+  }
+
+  forward(packet: CookiePacket, server: CatalogServer, cookie: number): void {
+    if (!this.isClosed) {
+      this.world.deliverToServer(packet, server, cookie);
+    }
+  }
+
+  reset(packet: CookiePacket): void {
+    if (!this.isClosed) {
+      this.world.deliverReset(packet, this.daemon);
+    }
+  }
+
+  close(): void {
+    this.isClosed = true;
+  }
+}
+
+function keyOf(route: CatalogRoute): number {
+  return destinationKey(route.address, route.port);
+}
+
+function keyOfPacket(packet: CookiePacket): number {
+  return destinationKey(packet.destinationAddress, packet.destinationPort);
+}
--- a/standins/memory-fleet.ts
+++ b/standins/memory-fleet.ts
@@ -1,8 +1,8 @@
 /** Several coordinators in one process over fakes of every port. */
+import {MemoryCounters} from '../src/adapters/memory-counters.js';
 import {Packet, PacketKind} from '../src/generated/packet.js';
 import type {RevisionBundle, ServerMark} from '../src/generated/peer.js';
 import {MemberState, firstIncarnation} from '../src/membership/member.js';
-import {Counters, type Metric} from '../src/ports/counters.js';
 import type {Hasher} from '../src/ports/hasher.js';
 import {Timeline, type TimelineRecord} from '../src/ports/timeline.js';
 import {FlowCoordinator} from '../src/recovery/flow-coordinator.js';
@@ -18,32 +18,6 @@
 
 const FIRST_PORT = 7_000;
 
-/** Counters in memory. */
-export class MemoryCounters extends Counters {
-  private readonly values = new Map<string, number>();
-
-  private constructor() {
-    super();
-  }
-
-  /** Creates counters at zero. */
-  static create(): MemoryCounters {
-    return new MemoryCounters();
-  }
-
-  add(name: Metric, by = 1): void {
-    this.values.set(name, (this.values.get(name) ?? 0) + by);
-  }
-
-  set(name: Metric, value: number): void {
-    this.values.set(name, value);
-  }
-
-  read(): Readonly<Record<string, number>> {
-    return Object.fromEntries(this.values);
-  }
-}
-
 /** A time line that keeps nothing. */
 export class SilentTimeline extends Timeline {
   private constructor() {
--- a/standins/memory-requests.ts
+++ b/standins/memory-requests.ts
@@ -21,7 +21,8 @@
 } from '../src/ports/backend-servers.js';
 import type {Hasher} from '../src/ports/hasher.js';
 import {FakeClock, ProcessClock} from './fake-clock.js';
-import {MemoryCounters, SilentTimeline} from './memory-fleet.js';
+import {MemoryCounters} from '../src/adapters/memory-counters.js';
+import {SilentTimeline} from './memory-fleet.js';
 import {MemoryNetwork, MemoryPeers} from './memory-network.js';
 import {MemoryStore} from './memory-store.js';
 import {Random} from '../src/routing/random.js';
