Fewer calls to the store in outages, cuts and bursts of events

Change: events are gathered for 0.2 s (0.8 s by a daemon without peers), pauses after a failed read grow with the number of peers, one call probes a store that failed, beats stay mostly within a failure domain.

--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -47,7 +47,24 @@
  * Longest head start when the fleet starts for the first time, in milliseconds:
  * callers come seconds later, and a fleet that reads at once reads in vain.
  */
-const FIRST_HEAD_START_MS = 2_500;
+const FIRST_HEAD_START_MS = 5_000;
+/** Longest wait for a pull that is under way, in milliseconds. */
+const PULL_PATIENCE_MS = 200;
+/** Time in which events are gathered before the next wait, in milliseconds. */
+const GATHER_MS = 200;
+/**
+ * The same at a daemon that hears of nobody: many such daemons may all read by
+ * themselves.
+ */
+const LONELY_GATHER_MS = 800;
+/**
+ * Pause after a failed read while there are peers, in milliseconds: the first
+ * figure and as much again for each of them as the second says, so that a large
+ * fleet as a whole tries about as often as a small one.
+ */
+const SHARED_RETRY_MS = 1_500;
+const RETRY_A_PEER_MS = 250;
+const LONGEST_SHARED_RETRY_MS = 4_500;
 /** Time for which a daemon whose read failed ranks behind others, in milliseconds. */
 const OUT_OF_TOUCH_MS = 4_000;
 
@@ -62,6 +79,10 @@
   readonly isFirstStart: boolean;
   /** This daemon's rank among the live ones, from 0. */
   rank(): number;
+  /** Peers that live. */
+  peerCount(): number;
+  /** Whether a peer is being asked for its copy. */
+  isPulling(): boolean;
   /** Called after each read that succeeded. */
   onRead(): void;
 }
@@ -112,6 +133,7 @@
       const failure = await this.readOnce();
       if (failure === undefined) {
         this.noteSuccess();
+        await this.gather();
       } else if (!this.stopped) {
         await this.pauseAfter(failure);
       }
@@ -122,7 +144,9 @@
   private nextRead(): number {
     const {catalog, random} = this.options;
     if (catalog.stamp.serverRevision === 0) {
-      return this.firstReadAt;
+      return this.options.isPulling()
+        ? this.firstReadAt + PULL_PATIENCE_MS
+        : this.firstReadAt;
     }
     const rank = this.options.rank();
     if (rank < WAITING_RANKS) {
@@ -215,8 +239,25 @@
       this.failures === 1 ? 'source-lost' : 'source-read-failed',
       fields,
     );
+    const until = clock.now() + this.retryPause() * (0.5 + random.next());
+    await this.sleepUntil(() => until);
+  }
+
+  /** A daemon that has a copy leaves it to its peers to try at once. */
+  private retryPause(): number {
+    const peers = this.options.peerCount();
+    if (this.options.catalog.isComplete && peers > 0) {
+      const shared = SHARED_RETRY_MS + peers * RETRY_A_PEER_MS;
+      return Math.min(shared, LONGEST_SHARED_RETRY_MS);
+    }
     const doubled = RETRY_MS * 2 ** Math.min(10, this.failures - 1);
-    const pause = Math.min(doubled, LONGEST_RETRY_MS) * (0.5 + random.next());
+    return Math.min(doubled, LONGEST_RETRY_MS);
+  }
+
+  /** Lets events come together, so that a burst of them takes few calls. */
+  private async gather(): Promise<void> {
+    const {clock} = this.options;
+    const pause = this.options.peerCount() > 0 ? GATHER_MS : LONELY_GATHER_MS;
     const until = clock.now() + pause;
     await this.sleepUntil(() => until);
   }
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -17,8 +17,8 @@
 const BEAT_MS = 500;
 /** Fleet size up to which a beat goes to everyone. */
 const MESH_LIMIT = 16;
-/** Receivers of a beat in a larger fleet. */
-const FAN_OUT = 3;
+/** Receivers of a beat in a larger fleet, besides one anywhere. */
+const NEAR_FAN_OUT = 2;
 /** Rounds between two beats to a peer that has fallen silent. */
 const ROUNDS_BETWEEN_GREETINGS = 4;
 /** Deadline of one pull, in milliseconds. */
@@ -78,6 +78,11 @@
     };
   }
 
+  /** Whether a peer is being asked for its copy. */
+  get isPulling(): boolean {
+    return this.pulls.size > 0;
+  }
+
   /** Sends a beat now, because there is news. */
   announce(): void {
     this.sendTo(this.receivers(), false);
@@ -112,7 +117,13 @@
   private receivers(): PeerDaemon[] {
     const {peers, clock} = this.options;
     const live = peers.live(clock.now());
-    return live.length <= MESH_LIMIT ? live : peers.sample(live, FAN_OUT);
+    if (live.length <= MESH_LIMIT) {
+      return live;
+    }
+    // Most beats stay within the failure domain; one may cross.
+    const {failureDomain} = this.options.self();
+    const near = live.filter(peer => peer.failureDomain === failureDomain);
+    return [...peers.sample(near, NEAR_FAN_OUT), ...peers.sample(live, 1)];
   }
 
   private sendTo(receivers: readonly PeerDaemon[], hello: boolean): void {
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -81,6 +81,8 @@
       random,
       isFirstStart: settings.isFirstStart,
       rank: () => this.rank(),
+      peerCount: () => this.peers.live(clock.now()).length,
+      isPulling: () => this.spread.isPulling,
       onRead: () => this.spread.announce(),
     });
   }
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -8,12 +8,10 @@
   readonly failureDomain: string;
   /** "ip:port" at which the fabric hands packets over. */
   readonly fabricListen: string;
-  /** "ip:port" at which the fabric asks whether the daemon is ready. */
+  /** "ip:port" of readiness checks and of counters. */
   readonly readinessListen: string;
   /** Port of beats (UDP) and pulls (TCP), the same at all daemons. */
   readonly peerPort: number;
-  /** Port at which counters are read. */
-  readonly metricsPort: number;
   /** Whether the whole fleet starts for the first time. */
   readonly isFirstStart: boolean;
   /** Addresses of daemons that may run, as IPv4 numbers. */
--- a/src/membership/peer-ages.ts
+++ b/src/membership/peer-ages.ts
@@ -12,8 +12,8 @@
 /** Silence after which a peer is forgotten, in milliseconds. */
 const FORGET_AGE_MS = 60_000;
 
-/** Peers that one beat tells of; bounds its size at 12 * 30 bytes. */
-const TOLD_IN_A_BEAT = 12;
+/** Peers that one beat tells of; bounds its size at 8 * 30 bytes. */
+const TOLD_IN_A_BEAT = 8;
 
 /** A daemon as its peers know it. */
 export interface PeerDaemon {
