--- /dev/null
+++ b/src/adapters/datagram-fleet.spec.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict';
+import dgram from 'node:dgram';
+import http from 'node:http';
+import {test} from 'node:test';
+import type {Beat} from '../generated/catalog.js';
+import {Metric} from '../ports/counters.js';
+import {DatagramFleet} from './datagram-fleet.js';
+import {MemoryCounters} from './memory-counters.js';
+import {SystemClock} from './system-clock.js';
+
+const clock = SystemClock.create();
+const FIRST = 0x7f000002;
+const SECOND = 0x7f000003;
+const PORT = 17_731;
+const BEAT: Beat = {
+  sender: undefined,
+  peers: [],
+  routeVersion: 7,
+  routesAgeMs: 1,
+  serverRevision: 9,
+  serverDigest: 5,
+  serversAgeMs: 2,
+  work: [],
+  hello: true,
+};
+
+function createFleet(address: number) {
+  const counters = MemoryCounters.create();
+  const fleet = DatagramFleet.create({address, port: PORT, clock, counters});
+  return {fleet, counters};
+}
+
+/** Waits until a condition holds, for two seconds at the most. */
+async function until(condition: () => boolean): Promise<void> {
+  const deadline = clock.now() + 2_000;
+  while (!condition() && clock.now() < deadline) {
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+  assert.ok(condition());
+}
+
+test('beats and pulls reach a peer; strangers cost a count and no more', async () => {
+  const first = createFleet(FIRST);
+  const second = createFleet(SECOND);
+  const heard: Array<[number, Beat]> = [];
+  const ignore = {
+    onBeat: () => undefined,
+    onPull: () => ({routes: undefined, servers: undefined}),
+  };
+  await first.fleet.serve({
+    onBeat: (sender, beat) => heard.push([sender, beat]),
+    onPull: (routeVersion, serverDigest) => ({
+      routes: {version: routeVersion + 1, ageMs: serverDigest, routes: []},
+      servers: undefined,
+    }),
+  });
+  await first.fleet.servePulls();
+  await second.fleet.serve(ignore);
+  try {
+    second.fleet.beat(FIRST, BEAT);
+    await until(() => heard.length === 1);
+    assert.deepEqual(heard[0], [SECOND, BEAT]);
+
+    const pulled = await second.fleet.pull(FIRST, 41, 3, clock.now() + 1_000);
+    assert.equal(pulled._unsafeUnwrap().routes?.version, 42);
+    assert.equal(pulled._unsafeUnwrap().routes?.ageMs, 3);
+
+    const stranger = dgram.createSocket('udp4');
+    stranger.send(Buffer.from([0xff, 0xff, 0xff]), PORT, '127.0.0.2');
+    await until(
+      () => first.counters.read()[Metric.PEER_DATAGRAMS_REFUSED] === 1,
+    );
+    stranger.close();
+    assert.equal(heard.length, 1);
+
+    const statuses = await Promise.all(
+      ['//', '/x', '/catalog?%'].map(statusOf),
+    );
+    assert.deepEqual(statuses, [404, 404, 200]);
+  } finally {
+    await first.fleet.close();
+    await second.fleet.close();
+  }
+});
+
+test('a pull from a peer that is not there fails with a type', async () => {
+  const {fleet} = createFleet(SECOND);
+  const pulled = await fleet.pull(FIRST, 0, 0, clock.now() + 500);
+  assert.equal(pulled._unsafeUnwrapErr().type, 'PeerUnavailable');
+});
+
+function statusOf(path: string): Promise<number | undefined> {
+  return new Promise((resolve, reject) => {
+    const request = http.get(
+      {host: '127.0.0.2', port: PORT, path, agent: false},
+      response => {
+        response.resume();
+        resolve(response.statusCode);
+      },
+    );
+    request.on('error', reject);
+  });
+}
--- a/src/adapters/datagram-fleet.ts
+++ b/src/adapters/datagram-fleet.ts
@@ -145,14 +145,15 @@
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
-  const url = new URL(request.url ?? '/', 'http://peer');
-  if (url.pathname !== PULL_PATH || handlers === undefined) {
+  const [path, query] = (request.url ?? '').split('?');
+  if (path !== PULL_PATH || handlers === undefined) {
     response.writeHead(NOT_FOUND).end();
     return;
   }
+  const held = new URLSearchParams(query);
   const update = handlers.onPull(
-    Number(url.searchParams.get('routes')),
-    Number(url.searchParams.get('servers')),
+    Number(held.get('routes')),
+    Number(held.get('servers')),
   );
   response.writeHead(OK, {connection: 'close'});
   response.end(CatalogUpdate.encode(update).finish());
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -37,7 +37,7 @@
   readonly log: Log;
   readonly random: Random;
   /** Addresses of daemons that may run, as IPv4 numbers. */
-  readonly seeds: readonly number[];
+  seeds(): readonly number[];
   /** This daemon as its peers are to know it, now. */
   self(): PeerAge;
   /**
@@ -101,10 +101,12 @@
 
   /** Beats to those that may be back, so that cuts heal. */
   private greetSilent(): void {
-    const {peers, seeds, clock, random} = this.options;
+    const {peers, clock, random} = this.options;
     const now = clock.now();
     const live = new Set(peers.live(now).map(({address}) => address));
-    const silentSeeds = seeds.filter(address => !live.has(address));
+    const silentSeeds = this.options
+      .seeds()
+      .filter(address => !live.has(address));
     const silentPeer = random.pick(peers.silent(now));
     const greeted = new Set(silentSeeds);
     if (silentPeer !== undefined) {
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -52,6 +52,7 @@
   private readonly spread: CatalogSpread;
   private readonly reader: CatalogReader;
   private readonly stops: Array<() => void> = [];
+  private seeds: readonly number[];
   private isLeaving = false;
   private wasReady = false;
   private hasForwarded = false;
@@ -60,7 +61,8 @@
 
   private constructor(private readonly options: EntryDaemonOptions) {
     const {settings, clock, hasher, random, log} = options;
-    const {flowLifetimeMs, address} = settings;
+    const {flowLifetimeMs, address, seeds} = settings;
+    this.seeds = seeds;
     this.catalog = Catalog.create({hasher, flowLifetimeMs});
     this.peers = PeerAges.create(address, random);
     this.work = ServerWorkLedger.create(hasher);
@@ -109,6 +111,12 @@
     });
   }
 
+  /** Takes changed settings: the addresses of other daemons may change. */
+  reload(settings: EntrySettings): void {
+    this.seeds = settings.seeds;
+    this.options.log.warn('reloaded', {seeds: settings.seeds.length});
+  }
+
   /** Whether the fabric is to hand packets to this daemon. */
   isReady(): boolean {
     const ready = this.catalog.isComplete && !this.isLeaving;
@@ -176,7 +184,7 @@
   }
 
   private createSpread(): CatalogSpread {
-    const {settings, channel, clock, log, random} = this.options;
+    const {channel, clock, log, random} = this.options;
     return CatalogSpread.create({
       catalog: this.catalog,
       peers: this.peers,
@@ -184,7 +192,7 @@
       clock,
       log,
       random,
-      seeds: settings.seeds,
+      seeds: () => this.seeds,
       self: () => this.self(),
       workToTell: onlySilent => this.work.toTell(clock.now(), onlySilent),
       onWork: (sender, work) => this.work.receive(sender, work, clock.now()),
