Flow stories from logs; a flow whose server nobody knows any more is reset

Change: once a list that is read steadily and later than the flow's first packet still lacks the cookie's server, the caller gets a reset. 'weldyard logs' and 'weldyard explain' read log files of many processes.

--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -127,6 +127,16 @@
     return this.cookies.find(cookie, route.allowedServices);
   }
 
+  /** Whether a cookie names any server, of whatever service. */
+  hasCookie(cookie: number): boolean {
+    return this.cookies.has(cookie);
+  }
+
+  /** Whether a server that lives would surely be in the list by now. */
+  get isSteady(): boolean {
+    return this.departures.isSteady;
+  }
+
   /** Whether a server has ended for certain. */
   isGone(server: CatalogServer): boolean {
     return this.departures.isGone(server.id);
--- a/src/catalog/cookie-index.ts
+++ b/src/catalog/cookie-index.ts
@@ -63,6 +63,11 @@
       ?.find(({service}) => services.has(service));
   }
 
+  /** Whether a cookie names any server. */
+  has(cookie: number): boolean {
+    return this.byCookie.has(cookie);
+  }
+
   private drop(id: string, cookie: number): void {
     this.cookies.delete(id);
     const left = this.byCookie.get(cookie)?.filter(server => server.id !== id);
--- a/src/catalog/departures.ts
+++ b/src/catalog/departures.ts
@@ -62,6 +62,11 @@
     this.forgetOld(at);
   }
 
+  /** Whether reads without a gap go back further than an entry may lapse. */
+  get isSteady(): boolean {
+    return this.confirmedAt - this.steadySince >= LAPSE_GRACE_MS;
+  }
+
   /** Records a server that the list read at `at` does not hold. */
   add(server: CatalogServer, at: number): void {
     const drained = server.state === 'draining';
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -9,7 +9,11 @@
 import {processSettingsSchema} from '../configuration/process-settings.js';
 import {nextDocument, type Edit} from '../configuration/revision.js';
 import {sourceNameOf} from '../configuration/services.js';
+import {parseSocketAddress} from '../routing/ipv4.js';
+import type {TimelineEvent} from '../generated/peer.js';
+import {tellFlowStory} from './flow-story.js';
 import {Platform, readText} from './platform.js';
+import {readProcessLogs} from './process-logs.js';
 import {compareTexts} from './text-difference.js';
 import {formatTable} from './text-table.js';
 import {
@@ -49,6 +53,7 @@
   readonly since?: string;
   readonly flow?: string;
   readonly request?: string;
+  readonly server?: string;
   readonly revision?: string;
   readonly out?: string;
 }
@@ -404,18 +409,64 @@
   options: TimelineOptions,
 ): Promise<ExitCode> {
   const answers = await platform.timelines();
-  const events = mergeEvents(
+  return showEvents(
     answers.flatMap(({answer}) => answer?.events ?? []),
-    {
-      sinceMs:
-        options.since === undefined ? undefined : Date.parse(options.since),
-      contains: [
-        options.flow ?? [],
-        options.request ?? [],
-        options.revision === undefined ? [] : `"revision":${options.revision}`,
-      ].flat(),
+    options,
+  );
+}
+
+/** Shows the events of daemons' log files, merged and filtered. */
+export function logs(
+  files: readonly string[],
+  options: TimelineOptions,
+): ExitCode {
+  return readProcessLogs(files).match(
+    events => showEvents(events, options),
+    fault => {
+      printError(fault.message);
+      return ExitCode.FAILED;
     },
   );
+}
+
+/** Explains from log files what became of a caller's flow. */
+export function explain(
+  source: string,
+  files: readonly string[],
+  options: CommonOptions,
+): ExitCode {
+  if (parseSocketAddress(source) === undefined) {
+    printError(`${source}: name the caller's flow as "a.b.c.d:port"`);
+    return ExitCode.WRONG_USE;
+  }
+  return readProcessLogs(files).match(
+    events => {
+      const story = tellFlowStory(events, source);
+      const text = [printEvents(story.events), '', ...story.findings];
+      print(options.json === true ? JSON.stringify(story) : text.join('\n'));
+      return story.events.length > 0 ? ExitCode.DONE : ExitCode.FAILED;
+    },
+    fault => {
+      printError(fault.message);
+      return ExitCode.FAILED;
+    },
+  );
+}
+
+function showEvents(
+  unsorted: readonly TimelineEvent[],
+  options: TimelineOptions,
+): ExitCode {
+  const events = mergeEvents(unsorted, {
+    sinceMs:
+      options.since === undefined ? undefined : Date.parse(options.since),
+    contains: [
+      options.flow ?? [],
+      options.request ?? [],
+      options.server ?? [],
+      options.revision === undefined ? [] : `"revision":${options.revision}`,
+    ].flat(),
+  });
   if (options.out !== undefined) {
     const draw = options.out.endsWith('.html') ? drawPage : drawEvents;
     writeFileSync(options.out, draw(events));
--- /dev/null
+++ b/src/cli/flow-story.spec.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {test} from 'node:test';
+import {XxhashHasher} from '../adapters/xxhash-hasher.js';
+import {CookieWorld} from '../../standins/cookie-world.js';
+import type {LoggedLine} from '../../standins/memory-log.js';
+import {formatIpv4} from '../routing/ipv4.js';
+import {tellFlowStory} from './flow-story.js';
+import {readProcessLogs} from './process-logs.js';
+
+const PAY = {
+  address: 0xc6120001,
+  port: 443,
+  shares: [{service: 'pay', weight: 1}],
+};
+
+async function createWorld(): Promise<CookieWorld> {
+  const plan = {
+    seed: 3,
+    daemons: 3,
+    failureDomains: ['a', 'b'],
+    services: [{name: 'pay', servers: 3, slots: 2, workMs: 20}],
+    routes: [PAY],
+    bounds: {drainMs: 3_000, configurationMs: 3_000},
+  };
+  return CookieWorld.create(plan, await XxhashHasher.create());
+}
+
+/** Writes what a world logged as files, one a process, and reads them again. */
+function readBack(lines: readonly LoggedLine[]) {
+  const folder = mkdtempSync(join(tmpdir(), 'weldyard-logs-'));
+  const processes = [...new Set(lines.map(({process}) => process))];
+  const files = processes.map(process => {
+    const file = join(folder, `${process}.log`);
+    const text = lines
+      .filter(line => line.process === process)
+      .map(({level, event, fields}) =>
+        JSON.stringify({
+          timestamp: '2026-01-01T00:00:00.000Z',
+          level,
+          message: event,
+          process,
+          ...fields,
+        }),
+      );
+    writeFileSync(file, `   1.5 ${text.join('\n')}\n{"cut off`);
+    return file;
+  });
+  return readProcessLogs(files)._unsafeUnwrap();
+}
+
+test('the cause of an opening to a silent server is found from the logs alone', async () => {
+  const world = await createWorld();
+  const [silent] = world.liveServers('pay');
+  world.crashServer(silent, true, 60_000);
+  const callers = Array.from({length: 12}, () => world.call(PAY, 1, 3_000));
+  await world.clock.advance(2_000);
+  const events = readBack(world.lines);
+  const stories = callers.map(({options}) =>
+    tellFlowStory(
+      events,
+      `${formatIpv4(options.sourceAddress)}:${options.sourcePort}`,
+    ),
+  );
+  const retried = stories.filter(({findings}) =>
+    findings.some(finding =>
+      finding.startsWith('its opening was sent 2 times'),
+    ),
+  );
+  assert.ok(retried.length > 0);
+  retried.forEach(({findings}) =>
+    assert.ok(
+      findings.some(finding =>
+        finding.startsWith(`${silent.entry.id} left packets unanswered`),
+      ),
+    ),
+  );
+});
+
+test('the cause of a refused opening names the version and its age', async () => {
+  const world = await createWorld();
+  world.publish([]);
+  await world.clock.advance(1_000);
+  const caller = world.call(PAY, 1, 3_000);
+  await world.clock.advance(500);
+  const {sourceAddress, sourcePort} = caller.options;
+  const source = `${formatIpv4(sourceAddress)}:${sourcePort}`;
+  const {findings} = tellFlowStory(readBack(world.lines), source);
+  assert.match(
+    findings[0],
+    /^d\d: a packet was answered with a reset: version 2 of the routes, confirmed \d+ ms before, has no route/,
+  );
+});
+
+test('the cause of a reset flow is the end of its server', async () => {
+  const world = await createWorld();
+  const callers = Array.from({length: 6}, () => world.call(PAY, 900, 15_000));
+  await world.clock.advance(500);
+  const [caller] = callers;
+  const ended = world
+    .liveServers('pay')
+    .find(({entry}) => entry.id === caller.server);
+  assert.ok(ended);
+  world.crashServer(ended, true, 2_300);
+  await world.clock.advance(8_000);
+  const {sourceAddress, sourcePort} = caller.options;
+  const source = `${formatIpv4(sourceAddress)}:${sourcePort}`;
+  const {findings} = tellFlowStory(readBack(world.lines), source);
+  assert.ok(findings.some(finding => finding.includes('its server had ended')));
+  assert.ok(
+    findings.includes(`${ended.entry.id} left the list of servers`),
+    findings.join('\n'),
+  );
+});
+
+test('files without a log line and files that are not there are named', () => {
+  const file = join(mkdtempSync(join(tmpdir(), 'weldyard-logs-')), 'empty.log');
+  writeFileSync(file, 'hello\n');
+  const empty = readProcessLogs([file])._unsafeUnwrapErr();
+  assert.match(empty.message, /empty\.log: holds no log line; name a log/);
+  const missing = readProcessLogs([`${file}.not`])._unsafeUnwrapErr();
+  assert.match(missing.message, /empty\.log\.not: cannot be read/);
+});
--- /dev/null
+++ b/src/cli/flow-story.ts
@@ -0,0 +1,122 @@
+/** What the logs of all daemons say of one flow, and why it went as it did. */
+import type {TimelineEvent} from '../generated/peer.js';
+
+/** Time before the flow's first line from which its surroundings are told. */
+const BEFORE_MS = 3_000;
+/** Time after the flow's last line up to which they are told. */
+const AFTER_MS = 5_000;
+
+/** Events of a process that explain its decisions. */
+const SURROUNDINGS: ReadonlySet<string> = new Set([
+  'routes-taken',
+  'source-lost',
+  'source-regained',
+  'started',
+  'ready',
+  'leaving',
+  'stopped',
+]);
+
+/** What is known of one flow. */
+export interface FlowStory {
+  /** The flow's own lines, and those of its servers and daemons near in time. */
+  readonly events: readonly TimelineEvent[];
+  /** What follows from them, a sentence each. */
+  readonly findings: readonly string[];
+}
+
+type Details = Readonly<Record<string, unknown>>;
+
+/** Tells the story of the flow of a caller's "address:port". */
+export function tellFlowStory(
+  events: readonly TimelineEvent[],
+  source: string,
+): FlowStory {
+  const own = events.filter(event => detailsOf(event)['source'] === source);
+  if (own.length === 0) {
+    return {events: [], findings: [`no daemon logged a flow of ${source}`]};
+  }
+  const from = own[0].physicalMs - BEFORE_MS;
+  const to = own[own.length - 1].physicalMs + AFTER_MS;
+  const near = events.filter(
+    ({physicalMs}) => physicalMs >= from && physicalMs <= to,
+  );
+  const servers = new Set<unknown>(
+    own.flatMap(event => detailsOf(event)['server'] ?? []),
+  );
+  const daemons = new Set(own.map(({process}) => process));
+  const told = near.filter(
+    event =>
+      own.includes(event) ||
+      servers.has(detailsOf(event)['server']) ||
+      (daemons.has(event.process) && SURROUNDINGS.has(event.kind)),
+  );
+  return {
+    events: told,
+    findings: [
+      ...own.flatMap(explainDecision),
+      ...explainCopies(own),
+      ...explainServers(near, servers),
+    ],
+  };
+}
+
+/** Why a packet of the flow was refused. */
+function explainDecision(event: TimelineEvent): string[] {
+  if (event.kind !== 'packet-refused') {
+    return [];
+  }
+  const {reason, outcome, routeVersion, routesAgeMs, serversAgeMs} =
+    detailsOf(event);
+  const how = outcome === 'reset' ? 'answered with a reset' : 'dropped';
+  const causes: Readonly<Record<string, string>> = {
+    'no-route': `version ${routeVersion} of the routes, confirmed ${routesAgeMs} ms before, has no route for its destination`,
+    'no-server': `no server of its route took new flows, by a list confirmed ${serversAgeMs} ms before`,
+    'server-gone': 'its server had ended for certain',
+    'unknown-cookie':
+      'no server that its route allows has its cookie: the daemon had not heard of the server, or the cookie is made up',
+    'nothing-to-reset': 'it was a reset of a flow without a route',
+  };
+  const cause = causes[String(reason)] ?? String(reason);
+  return [`${event.process}: a packet was ${how}: ${cause}`];
+}
+
+/** Copies of an opening mean that a server did not answer it. */
+function explainCopies(own: readonly TimelineEvent[]): string[] {
+  const placed = own.filter(({kind}) => kind === 'flow-placed');
+  const servers = placed.map(event => String(detailsOf(event)['server']));
+  return placed.length < 2
+    ? []
+    : [
+        `its opening was sent ${placed.length} times, to ${servers.join(', ')}: all but the last left it unanswered`,
+      ];
+}
+
+/** What befell the flow's servers near the time. */
+function explainServers(
+  near: readonly TimelineEvent[],
+  servers: ReadonlySet<unknown>,
+): string[] {
+  return [...servers].flatMap(server => {
+    const about = near.filter(event => detailsOf(event)['server'] === server);
+    const count = (kind: string) =>
+      new Set(about.filter(event => event.kind === kind).map(e => e.process))
+        .size;
+    const silent = count('server-silent');
+    const departed = count('server-departed');
+    const draining = about.some(
+      event => detailsOf(event)['state'] === 'draining',
+    );
+    return [
+      silent > 0
+        ? `${server} left packets unanswered at ${silent} daemons`
+        : [],
+      draining ? `${server} was draining` : [],
+      departed > 0 ? `${server} left the list of servers` : [],
+    ].flat();
+  });
+}
+
+function detailsOf(event: TimelineEvent): Details {
+  return JSON.parse(event.detailJson) as Details;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,7 +7,9 @@
   apply,
   check,
   diff,
+  explain,
   history,
+  logs,
   show,
   status,
   timeline,
@@ -86,6 +88,20 @@
   .action((options: TimelineOptions) =>
     withPlatform(options, platform => timeline(platform, options)),
   );
+program
+  .command('logs <...files>', "show the lines of daemons' log files, merged")
+  .option('--since <time>', 'ISO time of the first line')
+  .option('--flow <address:port>', 'lines that name a flow')
+  .option('--server <id>', 'lines that name a backend server')
+  .option('--out <file>', 'draw into FILE.svg or FILE.html')
+  .example('  $ weldyard logs d1.log d2.log --server i-7f3a91c2')
+  .action((files: string[], options: TimelineOptions) => logs(files, options));
+program
+  .command('explain <flow> <...files>', "a flow's story from log files")
+  .example('  $ weldyard explain 100.64.0.7:40001 *.log')
+  .action((flow: string, files: string[], options: CommonOptions) =>
+    explain(flow, files, options),
+  );
 program.help();
 program.version(VERSION);
 
--- /dev/null
+++ b/src/cli/process-logs.ts
@@ -0,0 +1,87 @@
+/**
+ * Log lines of daemons as events of a time line. Lines of several processes may
+ * stand in one file, and text may stand before the JSON of a line.
+ */
+import {readFileSync} from 'node:fs';
+import {Result, err, ok} from 'neverthrow';
+import type {TimelineEvent} from '../generated/peer.js';
+
+const STANDARD_INPUT = 0;
+/** Fields that every line has; the others are the event's details. */
+const COMMON_FIELDS: ReadonlySet<string> = new Set([
+  'timestamp',
+  'level',
+  'message',
+  'process',
+]);
+
+/** A file of log lines cannot be used. */
+export class LogFileFault extends Error {
+  readonly type = 'LogFileFault';
+  /** Creates the fault of one file. */
+  static create(file: string, cause: string): LogFileFault {
+    return new LogFileFault(`${file}: ${cause}`);
+  }
+}
+
+/** Reads files of log lines ("-": standard input), in the order of time. */
+export function readProcessLogs(
+  files: readonly string[],
+): Result<TimelineEvent[], LogFileFault> {
+  return Result.combine(files.map(readLogFile)).map(read =>
+    read.flat().sort((a, b) => a.physicalMs - b.physicalMs),
+  );
+}
+
+function readLogFile(file: string): Result<TimelineEvent[], LogFileFault> {
+  return readFile(file).andThen(text => {
+    const events = text.split('\n').flatMap(parseLine);
+    return events.length === 0
+      ? err(
+          LogFileFault.create(
+            file,
+            'holds no log line; name a log of a daemon',
+          ),
+        )
+      : ok(events);
+  });
+}
+
+function readFile(file: string): Result<string, LogFileFault> {
+  try {
+    return ok(readFileSync(file === '-' ? STANDARD_INPUT : file, 'utf8'));
+  } catch (error) {
+    return err(LogFileFault.create(file, `cannot be read; ${String(error)}`));
+  }
+}
+
+/** The event of a line; nothing for a line that is none, or was cut off. */
+function parseLine(line: string): TimelineEvent[] {
+  const start = line.indexOf('{');
+  if (start < 0) {
+    return [];
+  }
+  try {
+    return eventOf(JSON.parse(line.slice(start)));
+  } catch {
+    // The last line of a process that was killed may be cut off.
+    return [];
+  }
+}
+
+function eventOf(fields: Readonly<Record<string, unknown>>): TimelineEvent[] {
+  const physicalMs = Date.parse(String(fields['timestamp']));
+  const {process, message} = fields;
+  if (
+    Number.isNaN(physicalMs) ||
+    typeof process !== 'string' ||
+    typeof message !== 'string'
+  ) {
+    return [];
+  }
+  const details = Object.entries(fields).filter(
+    ([name]) => !COMMON_FIELDS.has(name),
+  );
+  const detailJson = JSON.stringify(Object.fromEntries(details));
+  return [{process, physicalMs, logical: 0, kind: message, detailJson}];
+}
--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -124,6 +124,33 @@
   );
 });
 
+test('a cookie that a steady, younger list does not hold belongs to a server that has ended', async () => {
+  const {router, catalog, clock} = createRouter([
+    serverOf('i-1'),
+    serverOf('i-9', 'docs'),
+  ]);
+  const confirm = async (milliseconds: number) => {
+    await clock.advance(milliseconds);
+    catalog.confirmAll(clock.now());
+  };
+  const stranger = packetOf({cookie: 12_345});
+  assert.equal(router.decide(stranger).verdict, 'drop');
+  await confirm(400);
+  assert.equal(router.decide(stranger).verdict, 'drop', 'not steady yet');
+  for (let round = 0; round < 6; round += 1) {
+    await confirm(500);
+  }
+  assert.equal(router.decide(stranger).verdict, 'reset');
+  const late = packetOf({cookie: 54_321});
+  assert.equal(router.decide(late).verdict, 'drop', 'seen after the read');
+  await confirm(100);
+  assert.equal(router.decide(late).verdict, 'drop', 'read hardly later');
+  const foreign = catalog.cookieOf(serverOf('i-9', 'docs')) ?? 0;
+  router.decide(packetOf({cookie: foreign}));
+  await confirm(500);
+  assert.equal(router.decide(packetOf({cookie: foreign})).verdict, 'drop');
+});
+
 test('draining servers get no openings and keep their flows', () => {
   const {router, catalog} = createRouter([
     serverOf('i-1', 'pay', 'draining'),
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -12,6 +12,7 @@
 import type {Random} from './random.js';
 import {SeenFlows} from './seen-flows.js';
 import type {ServerWorkLedger} from './server-work.js';
+import {UnknownCookies} from './unknown-cookies.js';
 
 /**
  * Age of the catalog up to which a daemon refuses what the catalog does not
@@ -75,6 +76,7 @@
 /** Decides on packets that carry cookies. */
 export class CookieRouter {
   readonly flows: SeenFlows;
+  private readonly unknown = UnknownCookies.create();
 
   private constructor(private readonly options: CookieRouterOptions) {
     this.flows = SeenFlows.create(options);
@@ -103,7 +105,7 @@
     const {catalog, clock} = this.options;
     const named = catalog.serverOf(packet.cookie, route);
     if (packet.cookie === NO_COOKIE || named === undefined) {
-      return {verdict: Verdict.DROP, reason: RefusalReason.UNKNOWN_COOKIE};
+      return this.refuseUnknown(packet);
     }
     const server = this.flows.notePacket(packet, named, clock.now());
     if (catalog.isGone(server)) {
@@ -112,6 +114,23 @@
     return {verdict: Verdict.FORWARD, server, cookie: packet.cookie};
   }
 
+  /**
+   * A cookie that names nobody is dropped; once the list was surely read without
+   * its server, and steadily so, the server has ended and the caller is told.
+   */
+  private refuseUnknown(packet: CookiePacket): CookieRefusal {
+    const {catalog, clock} = this.options;
+    const {serversConfirmedAt} = catalog.stamp;
+    const isGone =
+      packet.cookie !== NO_COOKIE &&
+      !catalog.hasCookie(packet.cookie) &&
+      this.unknown.isSurelyAbsent(packet, serversConfirmedAt, clock.now()) &&
+      catalog.isSteady;
+    return isGone
+      ? this.refuse(packet, RefusalReason.SERVER_GONE)
+      : {verdict: Verdict.DROP, reason: RefusalReason.UNKNOWN_COOKIE};
+  }
+
   /** Places an opening packet; a copy of one goes to another server. */
   private open(packet: CookiePacket, route: KnownRoute): CookieDecision {
     const {catalog, clock} = this.options;
