A later server at a listed server's address proves that the listed one ended

Change: the newer of two listed servers at one address stands; the older one gets no openings and its flows are reset. An answer with events confirms the routes too, since it covers every key. Test: catalog.spec.ts, red before.

--- /dev/null
+++ b/src/catalog/catalog.spec.ts
@@ -0,0 +1,152 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {XxhashHasher} from '../adapters/xxhash-hasher.js';
+import {applyUpdate, updateFor} from './catalog-messages.js';
+import {Catalog} from './catalog.js';
+import type {CatalogServer, ServerState} from './records.js';
+
+const hasher = await XxhashHasher.create();
+
+function createCatalog(): Catalog {
+  return Catalog.create({hasher, flowLifetimeMs: 60_000});
+}
+
+function serverOf(
+  id: string,
+  revision: number,
+  part: Partial<CatalogServer> = {},
+): CatalogServer {
+  return {
+    id,
+    service: 'pay',
+    address: revision,
+    port: 80,
+    failureDomain: 'a',
+    slots: 2,
+    state: 'ready',
+    coldUntil: 0,
+    createdRevision: revision,
+    revision,
+    ...part,
+  };
+}
+
+function openIds(catalog: Catalog): string[] {
+  return catalog
+    .openServers('pay')
+    .map(({id}) => id)
+    .sort();
+}
+
+test('a later server at the address of a listed one is proof that that one ended', () => {
+  const catalog = createCatalog();
+  const old = serverOf('i-1', 1, {address: 7});
+  const next = serverOf('i-2', 2, {address: 7, service: 'docs'});
+  catalog.takeServers({revision: 1, servers: [old]}, 0);
+  assert.equal(catalog.isGone(old), false);
+  catalog.takeServers({revision: 2, servers: [old, next]}, 500);
+  assert.equal(catalog.isGone(old), true);
+  assert.equal(catalog.isGone(next), false);
+  assert.deepEqual(openIds(catalog), []);
+});
+
+const EVENTS = fc.array(
+  fc.record({
+    id: fc.constantFrom('i-1', 'i-2', 'i-3'),
+    kind: fc.constantFrom('ready', 'draining', 'removed'),
+  }),
+  {maxLength: 20},
+);
+
+test('events taken twice, late or in part lead to the list that the store holds', () => {
+  fc.assert(
+    fc.property(EVENTS, fc.nat(20), fc.nat(20), (changes, start, again) => {
+      const events = changes.map(({id, kind}, index) => ({
+        id,
+        kind,
+        revision: index + 1,
+      }));
+      const listed = (upTo: number) =>
+        [...new Set(events.slice(0, upTo).map(({id}) => id))].flatMap(id => {
+          const last = events
+            .slice(0, upTo)
+            .filter(event => event.id === id)
+            .pop();
+          return last === undefined || last.kind === 'removed'
+            ? []
+            : [stateOf(id, last.kind, last.revision)];
+        });
+      const catalog = createCatalog();
+      const from = Math.min(start, events.length);
+      catalog.takeServers({revision: from, servers: listed(from)}, 0);
+      const feed = (after: number) =>
+        catalog.takeEvents(
+          {
+            revision: events.length,
+            routes: undefined,
+            written: events
+              .slice(after)
+              .filter(({kind}) => kind !== 'removed')
+              .map(({id, kind, revision}) => stateOf(id, kind, revision)),
+            removed: events
+              .slice(after)
+              .filter(({kind}) => kind === 'removed')
+              .map(({id, revision}) => ({id, revision})),
+          },
+          1,
+        );
+      feed(Math.min(again, from));
+      feed(from);
+      const expected = listed(events.length).map(({id, state}) => [id, state]);
+      const held = catalog.allServers().map(({id, state}) => [id, state]);
+      assert.deepEqual(held.sort(), expected.sort());
+    }),
+    {seed: 8, numRuns: 300},
+  );
+});
+
+function stateOf(id: string, kind: string, revision: number): CatalogServer {
+  const state: ServerState = kind === 'draining' ? 'draining' : 'ready';
+  return serverOf(id, revision, {state, address: Number(id.slice(2))});
+}
+
+test('a peer that pulls holds the same, earlier services included', () => {
+  const holder = createCatalog();
+  const route = {address: 1, port: 2, shares: [{service: 'docs', weight: 1}]};
+  holder.takeRoutes(
+    {version: 1, routes: [{...route, shares: [{service: 'pay', weight: 1}]}]},
+    0,
+  );
+  holder.takeRoutes({version: 2, routes: [route]}, 1_000);
+  const servers = [serverOf('i-1', 3), serverOf('i-2', 4, {state: 'draining'})];
+  holder.takeServers({revision: 9, servers}, 1_500);
+  const puller = createCatalog();
+  applyUpdate(puller, updateFor(holder, 0, 0, 2_000), 7_000);
+  const {routesConfirmedAt, serversConfirmedAt, ...held} = puller.stamp;
+  const {stamp} = holder;
+  assert.deepEqual(held, {
+    routeVersion: 2,
+    serverRevision: 9,
+    serverDigest: stamp.serverDigest,
+  });
+  assert.equal(routesConfirmedAt, 6_000);
+  assert.equal(serversConfirmedAt, 6_500);
+  const [pulled] = puller.allRoutes();
+  assert.deepEqual([...pulled.allowedServices].sort(), ['docs', 'pay']);
+  assert.deepEqual(updateFor(holder, 2, stamp.serverDigest, 0), {
+    routes: undefined,
+    servers: undefined,
+  });
+});
+
+test("a peer's revision is not taken before its routes are", () => {
+  const catalog = createCatalog();
+  catalog.takeServers({revision: 5, servers: []}, 0);
+  catalog.takeRoutes({version: 1, routes: []}, 0);
+  const digest = catalog.stamp.serverDigest;
+  catalog.confirmServers({revision: 9, digest, routeVersion: 2}, 100);
+  assert.equal(catalog.stamp.serverRevision, 5);
+  catalog.confirmServers({revision: 9, digest, routeVersion: 1}, 100);
+  assert.equal(catalog.stamp.serverRevision, 9);
+});
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -53,6 +53,8 @@
 export class Catalog {
   private readonly servers = new Map<string, CatalogServer>();
   private readonly byService = new Map<string, CatalogServer[]>();
+  /** Listed servers whose address a later server has taken: they have ended. */
+  private readonly succeeded = new Set<string>();
   private readonly departures: Departures;
   private readonly cookies: CookieIndex;
   private readonly routes = new Map<number, KnownRoute>();
@@ -139,7 +141,7 @@
 
   /** Whether a server has ended for certain. */
   isGone(server: CatalogServer): boolean {
-    return this.departures.isGone(server.id);
+    return this.succeeded.has(server.id) || this.departures.isGone(server.id);
   }
 
   /**
@@ -185,6 +187,7 @@
     this.noteServersConfirmed(confirmedAt);
     departed.forEach(server => this.depart(server, confirmedAt));
     listing.servers.forEach(server => this.putServer(server));
+    this.findSucceeded();
     this.rebuildOpen();
     if (changed.length > 0 || departed.length > 0) {
       this.serverDigest = this.digest();
@@ -195,7 +198,9 @@
   /** Takes what the store reported since the revision that is held. */
   takeEvents(events: CatalogEvents, confirmedAt: number): void {
     const {written, removed, revision} = events;
-    if (events.routes !== undefined) {
+    if (events.routes === undefined) {
+      this.confirmRoutes(this.routeVersion, confirmedAt);
+    } else {
       this.takeRoutes(events.routes, confirmedAt);
     }
     const servers = new Map(this.servers);
@@ -218,7 +223,6 @@
   confirmAll(at: number): void {
     this.routesConfirmedAt = Math.max(this.routesConfirmedAt, at);
     this.noteServersConfirmed(at);
-    this.rebuildOpen();
   }
 
   /**
@@ -233,12 +237,15 @@
       this.serverRevision = Math.max(this.serverRevision, told.revision);
     }
     this.noteServersConfirmed(at);
-    this.rebuildOpen();
   }
 
   private noteServersConfirmed(at: number): void {
     this.serversConfirmedAt = Math.max(this.serversConfirmedAt, at);
+    const lapsedBefore = this.departures.lapsed().length;
     this.departures.confirm(at);
+    if (this.departures.lapsed().length !== lapsedBefore) {
+      this.rebuildOpen();
+    }
     this.cookies.retain([...this.servers.values(), ...this.departures.all()]);
   }
 
@@ -278,10 +285,32 @@
     return known;
   }
 
+  private findSucceeded(): void {
+    const newest = new Map<number, CatalogServer>();
+    this.servers.forEach(server => {
+      const key = destinationKey(server.address, server.port);
+      const other = newest.get(key);
+      if (
+        other === undefined ||
+        other.createdRevision < server.createdRevision
+      ) {
+        newest.set(key, server);
+      }
+    });
+    this.succeeded.clear();
+    this.servers.forEach(server => {
+      const key = destinationKey(server.address, server.port);
+      if (newest.get(key) !== server) {
+        this.succeeded.add(server.id);
+      }
+    });
+  }
+
   private rebuildOpen(): void {
     this.byService.clear();
     [...this.servers.values(), ...this.departures.lapsed()]
       .filter(({state}) => state === 'ready')
+      .filter(({id}) => !this.succeeded.has(id))
       .forEach(server => {
         const others = this.byService.get(server.service) ?? [];
         this.byService.set(server.service, [...others, server]);
--- a/src/cli/flow-story.ts
+++ b/src/cli/flow-story.ts
@@ -48,7 +48,7 @@
   const told = near.filter(
     event =>
       own.includes(event) ||
-      servers.has(detailsOf(event)['server']) ||
+      isAboutServer(event, servers) ||
       (daemons.has(event.process) && SURROUNDINGS.has(event.kind)),
   );
   return {
@@ -61,6 +61,15 @@
   };
 }
 
+/** Whether a line tells of one of the servers, and not of another flow. */
+function isAboutServer(
+  event: TimelineEvent,
+  servers: ReadonlySet<unknown>,
+): boolean {
+  const {server, source} = detailsOf(event);
+  return servers.has(server) && source === undefined;
+}
+
 /** Why a packet of the flow was refused. */
 function explainDecision(event: TimelineEvent): string[] {
   if (event.kind !== 'packet-refused') {
--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -22,7 +22,7 @@
   id: string,
   service = 'pay',
   state: ServerState = 'ready',
-  address = 9,
+  address = Number(id.slice(2)),
 ): CatalogServer {
   return {
     id,
