Counters of the store and histograms of answer times, served as text

Cause: on-call engineers see how long openings and requests take only from logs. Ruled out: prom-client's own histograms, which would load with every start.

--- a/src/adapters/memory-counters.ts
+++ b/src/adapters/memory-counters.ts
@@ -1,10 +1,17 @@
 /** Counters kept in memory, served as text by prom-client. */
 import {Counters, type Metric} from '../ports/counters.js';
 
-/** Counters and gauges of one process. */
+/** Upper bounds of a histogram's buckets, in milliseconds. */
+const BUCKET_BOUNDS_MS: readonly number[] = [
+  1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000,
+];
+
+/** Counters, gauges and histograms of one process. */
 export class MemoryCounters extends Counters {
   private readonly counters = new Map<Metric, number>();
   private readonly gauges = new Map<Metric, number>();
+  /** Counts by bucket; the last one has no upper bound. */
+  private readonly histograms = new Map<Metric, number[]>();
 
   private constructor() {
     super();
@@ -23,6 +30,15 @@
     this.gauges.set(name, value);
   }
 
+  observe(name: Metric, milliseconds: number): void {
+    const counts =
+      this.histograms.get(name) ??
+      Array.from({length: BUCKET_BOUNDS_MS.length + 1}, () => 0);
+    const bucket = BUCKET_BOUNDS_MS.findIndex(bound => milliseconds <= bound);
+    counts[bucket < 0 ? BUCKET_BOUNDS_MS.length : bucket] += 1;
+    this.histograms.set(name, counts);
+  }
+
   read(): Readonly<Record<string, number>> {
     return Object.fromEntries([...this.counters, ...this.gauges]);
   }
@@ -48,6 +64,22 @@
       });
       gauge.set(value);
     });
+    this.histograms.forEach((counts, name) => {
+      const buckets = new Gauge({
+        name: `weldyard_${textName(name)}_bucket`,
+        help: `${name}, counted up to each bound`,
+        labelNames: ['le'],
+        registers: [registry],
+      });
+      counts.forEach((_count, index) => {
+        const bound = BUCKET_BOUNDS_MS[index];
+        const upTo = counts.slice(0, index + 1);
+        buckets.set(
+          {le: bound === undefined ? '+Inf' : String(bound)},
+          upTo.reduce((sum, count) => sum + count, 0),
+        );
+      });
+    });
     return registry.metrics();
   }
 }
--- a/src/adapters/statsd-counters.ts
+++ b/src/adapters/statsd-counters.ts
@@ -52,6 +52,10 @@
     this.gauges.set(name, value);
   }
 
+  observe(name: Metric, milliseconds: number): void {
+    this.client?.timing(name, milliseconds);
+  }
+
   read(): Readonly<Record<string, number>> {
     return Object.fromEntries([...this.counters, ...this.gauges]);
   }
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -72,6 +72,7 @@
       placement: options.placement ?? LightestPlacement.create(),
       clock,
       random,
+      counters: options.counters,
       onSilent: ({id}) => this.noteSilent(id),
     });
     this.spread = this.createSpread();
@@ -131,6 +132,13 @@
     return ready;
   }
 
+  /** Brings the gauges up to date, before they are read. */
+  updateGauges(): void {
+    const {counters} = this.options;
+    counters.set(Metric.FLOWS_HELD, this.router.flows.size);
+    counters.set(Metric.REVISION_ACTIVE, this.catalog.stamp.routeVersion);
+  }
+
   /**
    * Whether the daemon is ready now or becomes so before `deadline` (monotonic
    * milliseconds). The fabric asks only twice a second, so an answer that waits
--- a/src/ports/counters.ts
+++ b/src/ports/counters.ts
@@ -28,16 +28,20 @@
   STREAMS_OPENED: 'streams.opened',
   STREAMS_REFUSED: 'streams.refused',
   REVISION_ACTIVE: 'configuration.revision',
+  OPENING_ANSWER_MS: 'opening.answer_ms',
+  REQUEST_ANSWER_MS: 'request.answer_ms',
 } as const;
 /** One of the names in `Metric`. */
 export type Metric = (typeof Metric)[keyof typeof Metric];
 
-/** Counts what happens; reading back is for status pages and tests. */
+/** Counts what happens and how long it takes; reading back is for status pages and tests. */
 export abstract class Counters {
   /** Adds `by` (default 1) to a counter. */
   abstract add(name: Metric, by?: number): void;
   /** Sets a gauge. */
   abstract set(name: Metric, value: number): void;
-  /** All current values. */
+  /** Adds a time in milliseconds to a histogram. */
+  abstract observe(name: Metric, milliseconds: number): void;
+  /** All current values of counters and gauges. */
   abstract read(): Readonly<Record<string, number>>;
 }
--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {MemoryCounters} from '../adapters/memory-counters.js';
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
 import {Catalog} from '../catalog/catalog.js';
 import type {CatalogServer, ServerState} from '../catalog/records.js';
@@ -51,6 +52,7 @@
     placement: LightestPlacement.create(),
     clock,
     random: Random.create(3),
+    counters: MemoryCounters.create(),
     onSilent: ({id}) => silent.push(id),
   });
   return {clock, catalog, work, router, silent};
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -7,6 +7,7 @@
 import type {CatalogServer} from '../catalog/records.js';
 import type {Clock} from '../ports/clock.js';
 import type {CookiePacket} from '../ports/cookie-fabric.js';
+import type {Counters} from '../ports/counters.js';
 import {NO_COOKIE} from '../catalog/cookie-index.js';
 import type {Placement} from './placement.js';
 import type {Random} from './random.js';
@@ -69,6 +70,7 @@
   readonly placement: Placement;
   readonly clock: Clock;
   readonly random: Random;
+  readonly counters: Counters;
   /** Told of a server that left a packet unanswered and is avoided from now on. */
   onSilent(server: CatalogServer): void;
 }
--- a/src/routing/seen-flows.ts
+++ b/src/routing/seen-flows.ts
@@ -5,6 +5,7 @@
  */
 import type {CatalogServer} from '../catalog/records.js';
 import type {CookiePacket} from '../ports/cookie-fabric.js';
+import {Metric, type Counters} from '../ports/counters.js';
 import type {ServerWorkLedger} from './server-work.js';
 
 /** Flows kept at the most; 300 bytes each. */
@@ -32,6 +33,8 @@
   isOpen: boolean;
   /** Whether a request is under way. */
   isBusy: boolean;
+  /** When the newest request passed; monotonic milliseconds. */
+  requestedAt: number;
   /** What the caller had acknowledged when it sent the request. */
   acknowledgedBefore: number;
   /** Position of the newest data that the caller sent. */
@@ -42,6 +45,7 @@
 
 /** What a record of flows is made from. */
 export interface SeenFlowsOptions {
+  readonly counters: Counters;
   /** Where requests and silences are counted. */
   readonly work: ServerWorkLedger;
   /** Told of a server that is avoided from now on. */
@@ -89,6 +93,7 @@
       openingSentAt: now,
       isOpen: false,
       isBusy: false,
+      requestedAt: now,
       acknowledgedBefore: 0,
       newestData: NO_DATA,
       forgetAt,
@@ -110,10 +115,12 @@
     if (!flow.isOpen) {
       flow.isOpen = true;
       flow.server = named;
-      this.options.work.noteOpened(named.id, flow.openingSentAt, now);
+      const {work, counters} = this.options;
+      work.noteOpened(named.id, flow.openingSentAt, now);
+      counters.observe(Metric.OPENING_ANSWER_MS, now - flow.openingSentAt);
     }
     flow.forgetAt = now + IDLE_LIFETIME_MS;
-    this.noteProgress(flow, packet);
+    this.noteProgress(flow, packet, now);
     this.noteRepeat(flow, packet, now);
     if (packet.closes || packet.resets) {
       this.end(packet, flow, now);
@@ -132,6 +139,7 @@
       openingSentAt: now,
       isOpen: true,
       isBusy: false,
+      requestedAt: now,
       acknowledgedBefore: packet.acknowledged,
       newestData: NO_DATA,
       forgetAt: now + IDLE_LIFETIME_MS,
@@ -143,9 +151,14 @@
   }
 
   /** A request is under way from its first data to the first new answer. */
-  private noteProgress(flow: SeenFlow, packet: CookiePacket): void {
+  private noteProgress(
+    flow: SeenFlow,
+    packet: CookiePacket,
+    now: number,
+  ): void {
     if (packet.dataLength > 0 && !flow.isBusy) {
       flow.isBusy = true;
+      flow.requestedAt = now;
       flow.acknowledgedBefore = packet.acknowledged;
       this.options.work.count(flow.server.id, 1);
       return;
@@ -153,7 +166,9 @@
     const ahead = (packet.acknowledged - flow.acknowledgedBefore) >>> 0;
     if (flow.isBusy && ahead > 0 && ahead < HALF_RANGE) {
       this.finish(flow);
-      this.options.work.noteAnswered(flow.server.id);
+      const {work, counters} = this.options;
+      work.noteAnswered(flow.server.id);
+      counters.observe(Metric.REQUEST_ANSWER_MS, now - flow.requestedAt);
     }
   }
 
