--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -14,7 +14,6 @@
 import type {EntrySettings} from '../src/entry/settings.js';
 import {CookieFabric, type CookiePacket} from '../src/ports/cookie-fabric.js';
 import type {Hasher} from '../src/ports/hasher.js';
-import {destinationKey} from '../src/routing/flow-key.js';
 import type {Placement} from '../src/routing/placement.js';
 import {Random} from '../src/routing/random.js';
 import {CatalogStore, MemoryCatalogSource} from './catalog-store.js';
@@ -23,6 +22,11 @@
 import {FakeClock, ProcessClock} from './fake-clock.js';
 import {ChannelNetwork, MemoryChannel} from './memory-channel.js';
 import {MemoryLog, type LoggedLine} from './memory-log.js';
+import {
+  PromiseJudge,
+  type BrokenPromise,
+  type PromiseBounds,
+} from './promise-judge.js';
 
 /** One way between any two processes, in milliseconds. */
 const WAY_MS = 1;
@@ -34,16 +38,8 @@
 const FIRST_SERVER_ADDRESS = 0x0a800001;
 const FIRST_CALLER_ADDRESS = 0x64400001;
 const SERVER_PORT = 8_080;
-/** Stray packets of one flow from which a flow counts as broken. */
-const STRAY_LIMIT = 3;
 const QUEUE_LENGTH = 8;
 
-/** Bounds that the world holds daemons to, in milliseconds. */
-export interface WorldBounds {
-  readonly drainMs: number;
-  readonly configurationMs: number;
-}
-
 /** How the world is laid out. */
 export interface WorldPlan {
   readonly seed: number;
@@ -56,18 +52,11 @@
     workMs: number;
   }>;
   readonly routes: readonly CatalogRoute[];
-  readonly bounds: WorldBounds;
+  readonly bounds: PromiseBounds;
   /** How daemons place; the usual way if undefined. */
   readonly placement?: Placement;
 }
 
-/** A promise that was seen broken. */
-export interface BrokenPromise {
-  readonly promise: 'route' | 'drain' | 'configuration' | 'flow' | 'reset';
-  readonly atMs: number;
-  readonly detail: string;
-}
-
 /** One daemon, running or not. */
 export interface WorldDaemon {
   readonly settings: EntrySettings;
@@ -92,18 +81,14 @@
   readonly network: ChannelNetwork;
   readonly daemons = new Map<string, WorldDaemon>();
   readonly lines: LoggedLine[] = [];
-  readonly broken: BrokenPromise[] = [];
+  readonly judge: PromiseJudge;
   readonly tally: CallTally = {
     ends: {answered: 0, refused: 0, cut: 0, 'timed-out': 0},
     tookMs: [],
   };
   private readonly servers = new Map<string, CookieServer>();
   private readonly occupants = new Map<number, CookieServer>();
-  private readonly drainingSince = new Map<string, number>();
   private readonly callers = new Map<string, CookieCaller>();
-  private readonly strays = new Map<string, number>();
-  private readonly allowed = new Map<number, Set<string>>();
-  private readonly removedRoutes = new Map<number, number>();
   private routes: RouteListing = {version: 0, routes: []};
   private serverCount = 0;
   private callerCount = 0;
@@ -115,6 +100,11 @@
     this.random = Random.create(plan.seed);
     this.store = CatalogStore.create(this.clock);
     this.network = ChannelNetwork.create(this.clock, this.random);
+    this.judge = PromiseJudge.create({
+      clock: this.clock,
+      bounds: plan.bounds,
+      ownerOf: flow => this.servers.get(this.callers.get(flow)?.server ?? ''),
+    });
   }
 
   /** Creates a world whose daemons run and whose routes are published. */
@@ -139,21 +129,16 @@
 
   /** Publishes a new version of the routes. */
   publish(routes: readonly CatalogRoute[]): void {
-    const kept = new Set(routes.map(keyOf));
-    this.routes.routes
-      .map(keyOf)
-      .filter(key => !kept.has(key))
-      .forEach(key => this.removedRoutes.set(key, this.clock.now()));
-    kept.forEach(key => this.removedRoutes.delete(key));
-    routes.forEach(route => {
-      const services = this.allowed.get(keyOf(route)) ?? new Set<string>();
-      route.shares.forEach(({service}) => services.add(service));
-      this.allowed.set(keyOf(route), services);
-    });
+    this.judge.notePublished(routes);
     this.routes = {version: this.routes.version + 1, routes};
     this.store.putRoutes(this.routes);
   }
 
+  /** The promises that were seen broken. */
+  get broken(): readonly BrokenPromise[] {
+    return this.judge.broken;
+  }
+
   /** The routes in force. */
   get publishedRoutes(): readonly CatalogRoute[] {
     return this.routes.routes;
@@ -197,7 +182,7 @@
   drainServer(server: CookieServer, afterMs: number): void {
     server.state = ServerState.DRAINING;
     this.store.putServer({...server.entry, state: ServerState.DRAINING});
-    this.drainingSince.set(server.entry.id, this.clock.now());
+    this.judge.noteDraining(server.entry.id);
     this.clock.callAt(this.clock.now() + afterMs, () => {
       server.crash(false);
       this.store.removeServer(server.entry.id);
@@ -302,10 +287,10 @@
     this.after(() => {
       const server = this.occupants.get(meant.address);
       if (server === undefined || server.entry.id !== meant.id) {
-        this.noteStray(packet, meant.id);
+        this.judge.judgeStray(packet, meant.id);
         return;
       }
-      this.judge(packet, server);
+      this.judge.judgeArrival(packet, server);
       server.receive(flowName(packet), packet, cookie);
     });
   }
@@ -314,13 +299,9 @@
   deliverReset(packet: CookiePacket, daemon: string): void {
     this.after(() => {
       const flow = flowName(packet);
-      const caller = this.callers.get(flow);
-      const owner = this.servers.get(caller?.server ?? '');
-      const routeIsThere = !this.removedRoutes.has(keyOfPacket(packet));
-      if (owner?.holds(flow) === true && !owner.isSilent && routeIsThere) {
-        this.note('reset', `${daemon} reset ${flow} of ${owner.entry.id}`);
-      }
-      caller?.receiveReset();
+      const {destinationAddress: address, destinationPort: port} = packet;
+      this.judge.judgeReset(flow, {address, port}, daemon);
+      this.callers.get(flow)?.receiveReset();
     });
   }
 
@@ -396,58 +377,6 @@
       this.tally.tookMs.push(this.clock.now() - startedAt);
     }
   }
-
-  /** Checks the promises that a server's own eyes can check. */
-  private judge(packet: CookiePacket, server: CookieServer): void {
-    const {entry} = server;
-    const key = keyOfPacket(packet);
-    if (this.allowed.get(key)?.has(entry.service) !== true) {
-      this.note('route', `${flowName(packet)} reached ${entry.service}`);
-    }
-    if (packet.opens) {
-      this.judgeOpening(packet, entry, key);
-    } else if (!server.holds(flowName(packet))) {
-      this.noteStray(packet, entry.id);
-    } else {
-      this.strays.delete(flowName(packet));
-    }
-  }
-
-  private judgeOpening(
-    packet: CookiePacket,
-    entry: CatalogServer,
-    key: number,
-  ): void {
-    const now = this.clock.now();
-    const {drainMs, configurationMs} = this.plan.bounds;
-    const drainedAt = this.drainingSince.get(entry.id) ?? Infinity;
-    const removedAt = this.removedRoutes.get(key) ?? Infinity;
-    if (now - drainedAt > drainMs) {
-      this.note('drain', `${flowName(packet)} opened at ${entry.id}`);
-    }
-    if (now - removedAt > configurationMs) {
-      this.note('configuration', `${flowName(packet)} has no route any more`);
-    }
-  }
-
-  /** A packet of an open flow that did not go to its server. */
-  private noteStray(packet: CookiePacket, server: string): void {
-    const flow = flowName(packet);
-    const caller = this.callers.get(flow);
-    const owner = this.servers.get(caller?.server ?? '');
-    if (packet.opens || owner?.holds(flow) !== true) {
-      return;
-    }
-    const count = (this.strays.get(flow) ?? 0) + 1;
-    this.strays.set(flow, count);
-    if (count === STRAY_LIMIT) {
-      this.note('flow', `${flow} of ${owner.entry.id} went to ${server}`);
-    }
-  }
-
-  private note(promise: BrokenPromise['promise'], detail: string): void {
-    this.broken.push({promise, atMs: this.clock.now(), detail});
-  }
 }
 
 /** The fabric of one daemon. */
@@ -494,11 +423,3 @@
     this.isClosed = true;
   }
 }
-
-function keyOf(route: CatalogRoute): number {
-  return destinationKey(route.address, route.port);
-}
-
-function keyOfPacket(packet: CookiePacket): number {
-  return destinationKey(packet.destinationAddress, packet.destinationPort);
-}
