--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -26,10 +26,16 @@
   }
 
   /** Starts a Node program; its output goes to a file. */
-  start(name: string, args: readonly string[], log: string): StartedProcess {
+  start(
+    name: string,
+    args: readonly string[],
+    log: string,
+    environment: NodeJS.ProcessEnv = {},
+  ): StartedProcess {
     const output = openSync(log, 'a');
     const child = spawn(process.execPath, args, {
       stdio: ['ignore', output, output],
+      env: {...process.env, ...environment},
     });
     closeSync(output);
     const ended = new Promise<number | null>(resolve => {
