--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -37,6 +37,8 @@
 writeFileSync(
   LAUNCHER,
   `'use strict';
+// Until the program handles it: without a listener the signal ends the process.
+process.on('SIGHUP', () => {});
 const {readFileSync} = require('node:fs');
 const vm = require('node:vm');
 const script = new vm.Script(readFileSync('${BUNDLE}', 'utf8'), {
