New flows are placed by the daemon's own work

Cause: the placement by all daemons' counts sent bursts to the servers that looked lightest half a second before. Change: least own work by weight, chance among equals.

--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -16,6 +16,7 @@
 import {imbalance} from './experiments/imbalance.js';
 import {membership} from './experiments/membership.js';
 import {overload} from './experiments/overload.js';
+import {placing} from './experiments/placing.js';
 import {replication} from './experiments/replication.js';
 import {requestsFaults} from './experiments/requests-faults.js';
 import {rollingReplace} from './experiments/rolling-replace.js';
@@ -45,6 +46,7 @@
   domainLoss,
   configStorm,
   configSpread,
+  placing,
 ];
 
 interface Options {
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -22,7 +22,7 @@
   type CookieRefusal,
 } from '../routing/cookie-router.js';
 import {formatIpv4} from '../routing/ipv4.js';
-import {LightestPlacement, type Placement} from '../routing/placement.js';
+import {OwnWorkPlacement, type Placement} from '../routing/placement.js';
 import type {Random} from '../routing/random.js';
 import {ServerWorkLedger} from '../routing/server-work.js';
 import {PlannedStop} from './planned-stop.js';
@@ -39,7 +39,7 @@
   readonly random: Random;
   readonly counters: Counters;
   readonly log: Log;
-  /** How new flows are placed; the lightest server if undefined. */
+  /** How new flows are placed; by the daemon's own work if undefined. */
   readonly placement?: Placement;
 }
 
@@ -69,7 +69,7 @@
     this.router = CookieRouter.create({
       catalog: this.catalog,
       work: this.work,
-      placement: options.placement ?? LightestPlacement.create(),
+      placement: options.placement ?? OwnWorkPlacement.create(),
       clock,
       random,
       counters: options.counters,
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -48,6 +48,37 @@
   }
 }
 
+/**
+ * Takes the server with the least work of this daemon's own, by weight; chance
+ * decides among equals. Counts that peers told are not used: they are half a
+ * second old, and daemons that all see the same old counts choose the same server
+ * (experiment "placing": p99 112 ms by own counts, 384 ms by all, in a burst).
+ */
+export class OwnWorkPlacement extends Placement {
+  private constructor() {
+    super();
+  }
+
+  /** Creates the placement. */
+  static create(): OwnWorkPlacement {
+    return new OwnWorkPlacement();
+  }
+
+  choose(candidates: readonly Candidate[], preferred: number): number {
+    const place = candidates.findIndex(({server}) => server === preferred);
+    const start = Math.max(0, place);
+    const turned = [...candidates.slice(start), ...candidates.slice(0, start)];
+    return turned.reduce((best, next) =>
+      ownFillAfter(next) < ownFillAfter(best) ? next : best,
+    ).server;
+  }
+}
+
+/** Own flows a unit of weight once one more flow is placed. */
+function ownFillAfter(candidate: Candidate): number {
+  return (candidate.ownFlows + 1) / candidate.weight;
+}
+
 /** Flows a unit of weight once one more flow is placed. */
 function fillAfter(candidate: Candidate): number {
   return (candidate.flows + 1) / candidate.weight;
