Unused types, fields and exports of the cookie stand-ins removed

Cause: DaemonReset, Misdelivery, openedAt, runs and lastOpeningAt are read by nothing, and two bounds of departures were exported though only used there. Change: they are gone, or private to their module; both bounds name their unit. Behaviour is the same.

--- a/src/catalog/departures.ts
+++ b/src/catalog/departures.ts
@@ -6,13 +6,16 @@
 import type {CatalogServer} from './records.js';
 
 /**
- * Time in which the entry of a living server is back once the store is:
- * 2 s by the platform's word, and some time for the reads themselves.
+ * Time in which the entry of a living server is back once the store is, in
+ * milliseconds: 2 s by the platform's word, and some time for the reads.
  */
-export const LAPSE_GRACE_MS = 2_600;
+const LAPSE_GRACE_MS = 2_600;
 
-/** Time between two reads above which the store may have been away: three reads missed. */
-export const OUTAGE_GAP_MS = 2_600;
+/**
+ * Time between two reads above which the store may have been away, in
+ * milliseconds: three reads missed.
+ */
+const OUTAGE_GAP_MS = 2_600;
 
 /** A server that is not in the newest list. */
 interface Departure {
--- a/standins/cookie-callers.ts
+++ b/standins/cookie-callers.ts
@@ -28,12 +28,6 @@
 /** One of the ends in `CallEnd`. */
 export type CallEnd = (typeof CallEnd)[keyof typeof CallEnd];
 
-/** A reset that a daemon sent. */
-export interface DaemonReset {
-  readonly flow: string;
-  readonly daemon: string;
-}
-
 /** What a caller is made from. */
 export interface CallerOptions {
   readonly clock: Clock;
@@ -54,7 +48,6 @@
   readonly flow: string;
   /** The server that opened the flow. */
   server: string | undefined;
-  openedAt = -Infinity;
   answers = 0;
   private cookie = 0;
   private isOver = false;
@@ -124,7 +117,6 @@
       return;
     }
     this.server = server;
-    this.openedAt = this.options.clock.now();
     this.send({dataLength: 0});
     this.sendRequest(RESEND_MS, this.answers);
   }
--- a/standins/cookie-servers.ts
+++ b/standins/cookie-servers.ts
@@ -15,12 +15,6 @@
   readonly cookie: number;
 }
 
-/** Something that must never happen, as a server saw it. */
-export interface Misdelivery {
-  readonly what: string;
-  readonly server: string;
-}
-
 /** What a server is made from. */
 export interface CookieServerOptions {
   readonly entry: CatalogServer;
@@ -38,10 +32,6 @@
   /** A crashed server forgets its flows and refuses openings. */
   hasCrashed = false;
   state: ServerState = ServerState.READY;
-  /** Requests that were run. */
-  runs = 0;
-  /** Times at which openings arrived. */
-  lastOpeningAt = -Infinity;
   private busy = 0;
   private readonly queue: (() => void)[] = [];
   private readonly flows = new Set<string>();
@@ -87,7 +77,6 @@
   }
 
   private open(flow: string, cookie: number): void {
-    this.lastOpeningAt = this.options.clock.now();
     if (this.hasCrashed) {
       this.reply(flow, 'reset', cookie);
       return;
@@ -109,7 +98,6 @@
   private run(flow: string, cookie: number): void {
     const {clock, workMs} = this.options;
     this.busy += 1;
-    this.runs += 1;
     clock.callAt(clock.now() + workMs, () => {
       this.busy -= 1;
       if (this.holds(flow) && !this.isSilent) {
