Catalog names server states by their constants

Cause: two places compared a server's state with a bare text that ServerState holds already. Change: they use the constant; the seed of the digest says what it is for. Behaviour is the same.

--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -6,15 +6,17 @@
 import {destinationKey} from '../routing/flow-key.js';
 import {CookieIndex} from './cookie-index.js';
 import {Departures} from './departures.js';
-import type {
-  CatalogEvents,
-  CatalogRoute,
-  CatalogServer,
-  CatalogStamp,
-  RouteListing,
-  ServerListing,
+import {
+  ServerState,
+  type CatalogEvents,
+  type CatalogRoute,
+  type CatalogServer,
+  type CatalogStamp,
+  type RouteListing,
+  type ServerListing,
 } from './records.js';
 
+/** Sets the digest's hashes apart from those of other uses. */
 const DIGEST_SEED = 23;
 
 /** A route with every service that a version ever gave to it. */
@@ -309,7 +311,7 @@
   private rebuildOpen(): void {
     this.byService.clear();
     [...this.servers.values(), ...this.departures.lapsed()]
-      .filter(({state}) => state === 'ready')
+      .filter(({state}) => state === ServerState.READY)
       .filter(({id}) => !this.succeeded.has(id))
       .forEach(server => {
         const others = this.byService.get(server.service) ?? [];
--- a/src/catalog/departures.ts
+++ b/src/catalog/departures.ts
@@ -3,7 +3,7 @@
  * lives, while the store is away; so a departed server is taken to be gone only
  * when the list was read without it for a while without a gap.
  */
-import type {CatalogServer} from './records.js';
+import {ServerState, type CatalogServer} from './records.js';
 
 /**
  * Time in which the entry of a living server is back once the store is, in
@@ -72,7 +72,7 @@
 
   /** Records a server that the list read at `at` does not hold. */
   add(server: CatalogServer, at: number): void {
-    const drained = server.state === 'draining';
+    const drained = server.state === ServerState.DRAINING;
     this.departures.set(server.id, {
       server,
       missingSince: at,
