Both ledgers share the numbers of servers' ids

Cause: the ledger of loads and the one of work held the same cache of hashes, with the same seed, line by line. Change: ServerHashes holds it once; the seed is what both used. Behaviour is the same.

--- a/src/routing/load-ledger.ts
+++ b/src/routing/load-ledger.ts
@@ -7,11 +7,11 @@
  */
 import type {LoadVector} from '../generated/packet.js';
 import type {Hasher} from '../ports/hasher.js';
+import {ServerHashes} from './server-hashes.js';
 
 /** Vectors kept; the oldest are added into one when there are more. */
 const MAXIMUM_VECTORS = 64;
 const FOLDED_MEMBER = 'folded';
-const SERVER_SEED = 17;
 
 interface PublishedVector {
   readonly version: number;
@@ -27,21 +27,19 @@
   private readonly sums = new Map<number, number>();
   private version = 0;
 
-  private readonly hashes = new Map<string, number>();
-
   private constructor(
     private readonly member: string,
-    private readonly hasher: Hasher,
+    private readonly hashes: ServerHashes,
   ) {}
 
   /** Creates an empty ledger; `member` is unique to this run of the daemon. */
   static create(member: string, hasher: Hasher): LoadLedger {
-    return new LoadLedger(member, hasher);
+    return new LoadLedger(member, ServerHashes.create(hasher));
   }
 
   /** Counts a flow opened (+1) or closed (-1) at a server. */
   count(server: string, change: number): void {
-    const hash = this.hashOf(server);
+    const hash = this.hashes.of(server);
     addTo(this.own, hash, change);
     addTo(this.unpublished, hash, change);
     addTo(this.sums, hash, change);
@@ -53,14 +51,14 @@
    * keeps daemons that see the same counts from all choosing the same server.
    */
   estimate(server: string, members: number): number {
-    const hash = this.hashOf(server);
+    const hash = this.hashes.of(server);
     const unpublished = this.unpublished.get(hash) ?? 0;
     return (this.sums.get(hash) ?? 0) + unpublished * (members - 1);
   }
 
   /** Opens less closes that this daemon handled. */
   ownCount(server: string): number {
-    return this.own.get(this.hashOf(server)) ?? 0;
+    return this.own.get(this.hashes.of(server)) ?? 0;
   }
 
   /** The vector to publish now. */
@@ -99,17 +97,6 @@
     this.fold();
   }
 
-  /** Ids are long; the hash is what daemons send each other. */
-  private hashOf(server: string): number {
-    const known = this.hashes.get(server);
-    if (known !== undefined) {
-      return known;
-    }
-    const hash = this.hasher.hashText(server, SERVER_SEED);
-    this.hashes.set(server, hash);
-    return hash;
-  }
-
   private vector(): LoadVector {
     return {
       member: this.member,
--- a/src/routing/server-work.ts
+++ b/src/routing/server-work.ts
@@ -5,8 +5,8 @@
  */
 import type {ServerWork} from '../generated/catalog.js';
 import type {Hasher} from '../ports/hasher.js';
+import {ServerHashes} from './server-hashes.js';
 
-const SERVER_SEED = 17;
 /** Time for which what a peer told counts: three beats, in milliseconds. */
 const TOLD_LIFETIME_MS = 1_500;
 /**
@@ -14,6 +14,7 @@
  * milliseconds. It doubles with each time that it was tried again in vain.
  */
 const FIRST_AVOIDANCE_MS = 800;
+/** Longest such time, in milliseconds. */
 const LONGEST_AVOIDANCE_MS = 6_400;
 /**
  * Times the usual time to answer an opening after which a server that has not
@@ -46,6 +47,7 @@
   readonly silent: boolean;
 }
 
+/** All that one peer told last. */
 interface ToldVector {
   readonly work: ReadonlyMap<number, ToldWork>;
   /** Monotonic milliseconds after which it says nothing any more. */
@@ -56,15 +58,14 @@
 export class ServerWorkLedger {
   private readonly sights = new Map<number, ServerSight>();
   private readonly told = new Map<number, ToldVector>();
-  private readonly hashes = new Map<string, number>();
-  /** Smoothed time from an opening to the caller's next packet. */
+  /** Smoothed time from an opening to the caller's next packet, in milliseconds. */
   private usualAnswerMs = FIRST_ANSWER_MS;
 
-  private constructor(private readonly hasher: Hasher) {}
+  private constructor(private readonly hashes: ServerHashes) {}
 
   /** Creates an empty ledger. */
   static create(hasher: Hasher): ServerWorkLedger {
-    return new ServerWorkLedger(hasher);
+    return new ServerWorkLedger(ServerHashes.create(hasher));
   }
 
   /** Counts a request begun (+1) or answered (-1) at a server. */
@@ -111,7 +112,7 @@
 
   /** Whether an opening was left without an answer for longer than is usual. */
   hasRefused(server: string, now: number): boolean {
-    const sight = this.sights.get(this.hashOf(server));
+    const sight = this.sights.get(this.hashes.of(server));
     const patience = Math.max(
       SHORTEST_PATIENCE_MS,
       this.usualAnswerMs * PATIENCE,
@@ -121,7 +122,7 @@
 
   /** Unfinished requests at a server, over all daemons that told theirs. */
   unfinished(server: string, now: number): number {
-    const hash = this.hashOf(server);
+    const hash = this.hashes.of(server);
     const told = [...this.told.values()]
       .filter(({validUntil}) => validUntil > now)
       .reduce((sum, {work}) => sum + (work.get(hash)?.unfinished ?? 0), 0);
@@ -130,12 +131,12 @@
 
   /** Unfinished requests that this daemon sent. */
   ownUnfinished(server: string): number {
-    return this.sights.get(this.hashOf(server))?.unfinished ?? 0;
+    return this.sights.get(this.hashes.of(server))?.unfinished ?? 0;
   }
 
   /** Whether a server is taken to be silent, by this daemon or by a peer. */
   isSilent(server: string, now: number): boolean {
-    const hash = this.hashOf(server);
+    const hash = this.hashes.of(server);
     const sight = this.sights.get(hash);
     if (sight !== undefined && sight.avoidUntil > now) {
       return true;
@@ -176,21 +177,17 @@
 
   /** Drops what is known of servers other than these. */
   retain(servers: readonly string[]): void {
-    const kept = new Set(servers.map(server => this.hashOf(server)));
+    const kept = new Set(servers.map(server => this.hashes.of(server)));
     this.sights.forEach((_sight, hash) => {
       if (!kept.has(hash)) {
         this.sights.delete(hash);
       }
     });
-    this.hashes.forEach((hash, id) => {
-      if (!kept.has(hash)) {
-        this.hashes.delete(id);
-      }
-    });
+    this.hashes.retain(kept);
   }
 
   private sightOf(server: string): ServerSight {
-    const hash = this.hashOf(server);
+    const hash = this.hashes.of(server);
     const known = this.sights.get(hash);
     if (known !== undefined) {
       return known;
@@ -204,14 +201,4 @@
     this.sights.set(hash, created);
     return created;
   }
-
-  private hashOf(server: string): number {
-    const known = this.hashes.get(server);
-    if (known !== undefined) {
-      return known;
-    }
-    const hash = this.hasher.hashText(server, SERVER_SEED);
-    this.hashes.set(server, hash);
-    return hash;
-  }
 }
