Text of counters written by one function for each kind

Cause: one method of 38 lines held three nested loops. Change: a function each writes a counter, a gauge and a histogram. The library is still loaded with the first call: only its types are imported. Behaviour is the same.

--- a/src/adapters/memory-counters.ts
+++ b/src/adapters/memory-counters.ts
@@ -1,4 +1,5 @@
 /** Counters kept in memory, served as text by prom-client. */
+import type * as prometheus from 'prom-client';
 import {Counters, type Metric} from '../ports/counters.js';
 
 /** Upper bounds of a histogram's buckets, in milliseconds. */
@@ -6,6 +7,9 @@
   1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000,
 ];
 
+/** The module that writes the text; it is loaded late, so it is handed on. */
+type TextWriter = typeof prometheus;
+
 /** Counters, gauges and histograms of one process. */
 export class MemoryCounters extends Counters {
   private readonly counters = new Map<Metric, number>();
@@ -46,44 +50,64 @@
   /** All values in the text format of Prometheus. */
   async text(): Promise<string> {
     // Loaded with the first call, so that a start does not pay for it.
-    const {Counter, Gauge, Registry} = await import('prom-client');
-    const registry = new Registry();
-    this.counters.forEach((value, name) => {
-      const counter = new Counter({
-        name: `weldyard_${textName(name)}_total`,
-        help: name,
-        registers: [registry],
-      });
-      counter.inc(value);
-    });
-    this.gauges.forEach((value, name) => {
-      const gauge = new Gauge({
-        name: `weldyard_${textName(name)}`,
-        help: name,
-        registers: [registry],
-      });
-      gauge.set(value);
-    });
-    this.histograms.forEach((counts, name) => {
-      const buckets = new Gauge({
-        name: `weldyard_${textName(name)}_bucket`,
-        help: `${name}, counted up to each bound`,
-        labelNames: ['le'],
-        registers: [registry],
-      });
-      counts.forEach((_count, index) => {
-        const bound = BUCKET_BOUNDS_MS[index];
-        const upTo = counts.slice(0, index + 1);
-        buckets.set(
-          {le: bound === undefined ? '+Inf' : String(bound)},
-          upTo.reduce((sum, count) => sum + count, 0),
-        );
-      });
-    });
+    const writer = await import('prom-client');
+    const registry = new writer.Registry();
+    this.counters.forEach((value, name) =>
+      writeCounter(writer, registry, name, value),
+    );
+    this.gauges.forEach((value, name) =>
+      writeGauge(writer, registry, name, value),
+    );
+    this.histograms.forEach((counts, name) =>
+      writeHistogram(writer, registry, name, counts),
+    );
     return registry.metrics();
   }
 }
 
+function writeCounter(
+  {Counter}: TextWriter,
+  registry: prometheus.Registry,
+  metric: Metric,
+  value: number,
+): void {
+  const name = `weldyard_${textName(metric)}_total`;
+  new Counter({name, help: metric, registers: [registry]}).inc(value);
+}
+
+function writeGauge(
+  {Gauge}: TextWriter,
+  registry: prometheus.Registry,
+  metric: Metric,
+  value: number,
+): void {
+  const name = `weldyard_${textName(metric)}`;
+  new Gauge({name, help: metric, registers: [registry]}).set(value);
+}
+
+/** Writes for each bound how many times were at most as long. */
+function writeHistogram(
+  {Gauge}: TextWriter,
+  registry: prometheus.Registry,
+  metric: Metric,
+  counts: readonly number[],
+): void {
+  const buckets = new Gauge({
+    name: `weldyard_${textName(metric)}_bucket`,
+    help: `${metric}, counted up to each bound`,
+    labelNames: ['le'],
+    registers: [registry],
+  });
+  counts.forEach((_count, index) => {
+    const bound = BUCKET_BOUNDS_MS[index];
+    const upTo = counts.slice(0, index + 1);
+    buckets.set(
+      {le: bound === undefined ? '+Inf' : String(bound)},
+      upTo.reduce((sum, count) => sum + count, 0),
+    );
+  });
+}
+
 function textName(name: string): string {
   return name.split('.').join('_');
 }
