--- a/src/adapters/datagram-fleet.ts
+++ b/src/adapters/datagram-fleet.ts
@@ -104,14 +104,10 @@
     path: string,
     deadline: number,
   ): Promise<Result<CatalogUpdate, PeerUnavailable>> {
+    const {port, clock} = this.options;
     const host = formatIpv4(address);
     return new Promise(resolve => {
-      const request = http.get({
-        host,
-        port: this.options.port,
-        path,
-        agent: false,
-      });
+      const request = http.get({host, port, path, agent: false});
       const settle = (result: Result<CatalogUpdate, PeerUnavailable>) => {
         timer.cancel();
         request.destroy();
@@ -119,27 +115,34 @@
       };
       const fail = (cause: string) =>
         settle(err(PeerUnavailable.create(host, cause)));
-      const timer = this.options.clock.callAt(deadline, () =>
-        fail('no answer in time'),
-      );
+      const timer = clock.callAt(deadline, () => fail('no answer in time'));
       request.on('error', error => fail(error.message));
-      request.on('response', response => {
-        const chunks: Buffer[] = [];
-        response.on('data', (chunk: Buffer) => chunks.push(chunk));
-        response.on('error', error => fail(error.message));
-        response.on('end', () => {
-          const update = decodeUpdate(Buffer.concat(chunks));
-          if (response.statusCode !== OK || update === undefined) {
-            fail(`status ${response.statusCode}, unreadable`);
-          } else {
-            settle(ok(update));
-          }
-        });
-      });
+      request.on('response', response =>
+        readUpdate(response, fail, update => settle(ok(update))),
+      );
     });
   }
 }
 
+/** Reads the answer to a pull and calls one of the two. */
+function readUpdate(
+  response: http.IncomingMessage,
+  fail: (cause: string) => void,
+  take: (update: CatalogUpdate) => void,
+): void {
+  const chunks: Buffer[] = [];
+  response.on('data', (chunk: Buffer) => chunks.push(chunk));
+  response.on('error', error => fail(error.message));
+  response.on('end', () => {
+    const update = decodeUpdate(Buffer.concat(chunks));
+    if (response.statusCode !== OK || update === undefined) {
+      fail(`status ${response.statusCode}, unreadable`);
+    } else {
+      take(update);
+    }
+  });
+}
+
 function answerPull(
   handlers: FleetHandlers | undefined,
   request: http.IncomingMessage,
@@ -159,6 +162,7 @@
   response.end(CatalogUpdate.encode(update).finish());
 }
 
+/** Undefined for bytes that are no beat; the caller counts them. */
 function decodeBeat(bytes: Uint8Array): Beat | undefined {
   try {
     return Beat.decode(bytes);
@@ -167,6 +171,7 @@
   }
 }
 
+/** Undefined for bytes that are no update; the pull then fails. */
 function decodeUpdate(bytes: Uint8Array): CatalogUpdate | undefined {
   try {
     return CatalogUpdate.decode(bytes);
