Generation tables in a module that both their users import

Cause: address-table.ts and candidates.ts imported each other. Change: GenerationTable, TableBuilder and serverIn, which need neither, stand in generation-table.ts; address-table.ts keeps AddressTable alone. Behaviour is the same.

--- a/src/routing/candidates.ts
+++ b/src/routing/candidates.ts
@@ -1,5 +1,5 @@
 /** The servers of an address that may take a new flow now. */
-import type {GenerationTable} from './address-table.js';
+import type {GenerationTable} from './generation-table.js';
 import type {LoadLedger} from './load-ledger.js';
 import type {Candidate} from './placement.js';
 import type {RoutedAddress} from './routed-address.js';
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -4,12 +4,7 @@
 import type {Clock} from '../ports/clock.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import type {Hasher} from '../ports/hasher.js';
-import {
-  AddressTable,
-  NO_SERVER,
-  TableBuilder,
-  serverIn,
-} from './address-table.js';
+import {AddressTable} from './address-table.js';
 import {candidatesOf} from './candidates.js';
 import {
   DecisionKind,
@@ -25,6 +20,7 @@
   type FlowKey,
 } from './flow-key.js';
 import {EntryKind, FlowTable} from './flow-table.js';
+import {NO_SERVER, TableBuilder, serverIn} from './generation-table.js';
 import {LoadLedger} from './load-ledger.js';
 import {Ownership} from './ownership.js';
 import {LightestPlacement, type Placement} from './placement.js';
