Surroundings of a flow's story found by a function of their own

Change: eventsNear picks the events near in time; both bounds name their unit. Behaviour is the same.

--- a/src/cli/flow-story.ts
+++ b/src/cli/flow-story.ts
@@ -1,9 +1,12 @@
 /** What the logs of all daemons say of one flow, and why it went as it did. */
 import type {TimelineEvent} from '../generated/peer.js';
 
-/** Time before the flow's first line from which its surroundings are told. */
+/**
+ * Time before the flow's first line from which its surroundings are told, in
+ * milliseconds.
+ */
 const BEFORE_MS = 3_000;
-/** Time after the flow's last line up to which they are told. */
+/** Time after the flow's last line up to which they are told, in milliseconds. */
 const AFTER_MS = 5_000;
 
 /** Events of a process that explain its decisions. */
@@ -25,9 +28,13 @@
   readonly findings: readonly string[];
 }
 
+/** An event's own fields; what stands in them is not known. */
 type Details = Readonly<Record<string, unknown>>;
 
-/** Tells the story of the flow of a caller's "address:port". */
+/**
+ * Tells the story of the flow of a caller's "address:port"; `events` are in the
+ * order of time.
+ */
 export function tellFlowStory(
   events: readonly TimelineEvent[],
   source: string,
@@ -36,11 +43,7 @@
   if (own.length === 0) {
     return {events: [], findings: [`no daemon logged a flow of ${source}`]};
   }
-  const from = own[0].physicalMs - BEFORE_MS;
-  const to = own[own.length - 1].physicalMs + AFTER_MS;
-  const near = events.filter(
-    ({physicalMs}) => physicalMs >= from && physicalMs <= to,
-  );
+  const near = eventsNear(events, own);
   const servers = new Set<unknown>(
     own.flatMap(event => detailsOf(event)['server'] ?? []),
   );
@@ -61,6 +64,18 @@
   };
 }
 
+/** Events shortly before, during and shortly after the flow's own lines. */
+function eventsNear(
+  events: readonly TimelineEvent[],
+  own: readonly TimelineEvent[],
+): TimelineEvent[] {
+  const from = own[0].physicalMs - BEFORE_MS;
+  const to = own[own.length - 1].physicalMs + AFTER_MS;
+  return events.filter(
+    ({physicalMs}) => physicalMs >= from && physicalMs <= to,
+  );
+}
+
 /** Whether a line tells of one of the servers, and not of another flow. */
 function isAboutServer(
   event: TimelineEvent,
