Records of seen flows built in one place

Cause: two methods listed the nine fields of a new flow, and the key of a flow repeated what destinationKey computes. candidateOf had no return type. Change: createFlow holds the fields; the key calls destinationKey; candidateOf says that it gives a Candidate; bounds name their units. Behaviour is the same.

--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -4,12 +4,12 @@
  * decides alike without memory of the flow.
  */
 import type {Catalog, KnownRoute} from '../catalog/catalog.js';
+import {NO_COOKIE} from '../catalog/cookie-index.js';
 import type {CatalogServer} from '../catalog/records.js';
 import type {Clock} from '../ports/clock.js';
 import type {CookiePacket} from '../ports/cookie-fabric.js';
 import type {Counters} from '../ports/counters.js';
-import {NO_COOKIE} from '../catalog/cookie-index.js';
-import type {Placement} from './placement.js';
+import type {Candidate, Placement} from './placement.js';
 import type {Random} from './random.js';
 import {SeenFlows} from './seen-flows.js';
 import type {ServerWorkLedger} from './server-work.js';
@@ -17,7 +17,8 @@
 
 /**
  * Age of the catalog up to which a daemon refuses what the catalog does not
- * hold; with an older one it stays silent, since a route may have been added.
+ * hold, in milliseconds; with an older one it stays silent, since a route may
+ * have been added.
  */
 const CURRENT_MS = 4_000;
 
@@ -202,7 +203,12 @@
     return untried.length > 0 ? untried : trusted;
   }
 
-  private candidateOf(server: CatalogServer, index: number, now: number) {
+  /** A server as the placement sees it; `index` is its position in the choice. */
+  private candidateOf(
+    server: CatalogServer,
+    index: number,
+    now: number,
+  ): Candidate {
     const {work} = this.options;
     const warm = server.coldUntil <= now ? 1 : COLD_SHARE;
     return {
--- a/src/routing/flow-key.ts
+++ b/src/routing/flow-key.ts
@@ -53,7 +53,7 @@
   return key.low % PARTITION_COUNT;
 }
 
-/** A destination as one number, for use as a map key. */
+/** A destination, or another address and port, as one number: a key of maps. */
 export function destinationKey(address: number, port: number): number {
   return address * 65_536 + port;
 }
--- a/src/routing/seen-flows.ts
+++ b/src/routing/seen-flows.ts
@@ -6,11 +6,15 @@
 import type {CatalogServer} from '../catalog/records.js';
 import type {CookiePacket} from '../ports/cookie-fabric.js';
 import {Metric, type Counters} from '../ports/counters.js';
+import {destinationKey} from './flow-key.js';
 import type {ServerWorkLedger} from './server-work.js';
 
 /** Flows kept at the most; 300 bytes each. */
 const MAXIMUM_FLOWS = 60_000;
-/** Time after which an unfinished opening is forgotten: three attempts end in 1.4 s. */
+/**
+ * Time after which an unfinished opening is forgotten, in milliseconds: three
+ * attempts end in 1.4 s.
+ */
 const OPENING_LIFETIME_MS = 2_500;
 /** Time without a packet after which a flow is forgotten, in milliseconds. */
 const IDLE_LIFETIME_MS = 20_000;
@@ -18,7 +22,7 @@
 const SWEEP_MS = 1_000;
 /** Stands for "no data yet" among positions. */
 const NO_DATA = -1;
-/** Half of the range of positions: what is further ahead lies behind. */
+/** Half of the range of positions, in bytes: what is further ahead lies behind. */
 const HALF_RANGE = 2 ** 31;
 
 /** One flow that passed. */
@@ -88,15 +92,8 @@
       return;
     }
     this.put(packet, {
-      server,
+      ...createFlow(server, now, forgetAt),
       tried: [server],
-      openingSentAt: now,
-      isOpen: false,
-      isBusy: false,
-      requestedAt: now,
-      acknowledgedBefore: 0,
-      newestData: NO_DATA,
-      forgetAt,
     });
   }
 
@@ -128,21 +125,16 @@
     return flow.tried.length > 0 ? flow.server : named;
   }
 
+  /** Records a flow whose opening this daemon did not see. */
   private addOpen(
     packet: CookiePacket,
     server: CatalogServer,
     now: number,
   ): SeenFlow {
     const flow: SeenFlow = {
-      server,
-      tried: [],
-      openingSentAt: now,
+      ...createFlow(server, now, now + IDLE_LIFETIME_MS),
       isOpen: true,
-      isBusy: false,
-      requestedAt: now,
       acknowledgedBefore: packet.acknowledged,
-      newestData: NO_DATA,
-      forgetAt: now + IDLE_LIFETIME_MS,
     };
     if (!packet.closes && !packet.resets) {
       this.put(packet, flow);
@@ -224,7 +216,30 @@
   }
 }
 
+/** A flow that has not done anything yet. */
+function createFlow(
+  server: CatalogServer,
+  now: number,
+  forgetAt: number,
+): SeenFlow {
+  return {
+    server,
+    tried: [],
+    openingSentAt: now,
+    isOpen: false,
+    isBusy: false,
+    requestedAt: now,
+    acknowledgedBefore: 0,
+    newestData: NO_DATA,
+    forgetAt,
+  };
+}
+
 function keyOf(packet: CookiePacket): string {
-  const {sourceAddress, sourcePort, destinationAddress} = packet;
-  return `${sourceAddress * 65_536 + sourcePort}/${destinationAddress * 65_536 + packet.destinationPort}`;
+  const source = destinationKey(packet.sourceAddress, packet.sourcePort);
+  const destination = destinationKey(
+    packet.destinationAddress,
+    packet.destinationPort,
+  );
+  return `${source}/${destination}`;
 }
