Both cookie worlds share their servers; the world's fabric has a module

Change: CookieServerFleet holds the servers of both; WorldFabric stands in world-fabric.ts over an interface of the two ways that it needs.

--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -4,21 +4,21 @@
  * faults to order. It keeps a list of every promise that it saw broken.
  */
 import {MemoryCounters} from '../src/adapters/memory-counters.js';
-import {
-  ServerState,
-  type CatalogRoute,
-  type CatalogServer,
-  type RouteListing,
+import type {
+  CatalogRoute,
+  CatalogServer,
+  RouteListing,
 } from '../src/catalog/records.js';
 import {EntryDaemon} from '../src/entry/entry-daemon.js';
 import type {EntrySettings} from '../src/entry/settings.js';
-import {CookieFabric, type CookiePacket} from '../src/ports/cookie-fabric.js';
+import type {CookiePacket} from '../src/ports/cookie-fabric.js';
 import type {Hasher} from '../src/ports/hasher.js';
 import type {Placement} from '../src/routing/placement.js';
 import {Random} from '../src/routing/random.js';
 import {CatalogStore, MemoryCatalogSource} from './catalog-store.js';
 import {CallEnd, CookieCaller, flowName} from './cookie-callers.js';
-import {CookieServer, type ServerPacket} from './cookie-servers.js';
+import {CookieServerFleet} from './cookie-server-fleet.js';
+import type {CookieServer, ServerPacket} from './cookie-servers.js';
 import {FakeClock, ProcessClock} from './fake-clock.js';
 import {ChannelNetwork, MemoryChannel} from './memory-channel.js';
 import {MemoryLog, type LoggedLine} from './memory-log.js';
@@ -27,6 +27,7 @@
   type BrokenPromise,
   type PromiseBounds,
 } from './promise-judge.js';
+import {WorldFabric} from './world-fabric.js';
 
 /** One way between any two processes, in milliseconds. */
 const WAY_MS = 1;
@@ -86,8 +87,7 @@
     ends: {answered: 0, refused: 0, cut: 0, 'timed-out': 0},
     tookMs: [],
   };
-  private readonly servers = new Map<string, CookieServer>();
-  private readonly occupants = new Map<number, CookieServer>();
+  private readonly servers: CookieServerFleet;
   private readonly callers = new Map<string, CookieCaller>();
   private routes: RouteListing = {version: 0, routes: []};
   private serverCount = 0;
@@ -103,7 +103,16 @@
     this.judge = PromiseJudge.create({
       clock: this.clock,
       bounds: plan.bounds,
-      ownerOf: flow => this.servers.get(this.callers.get(flow)?.server ?? ''),
+      ownerOf: flow => this.servers.find(this.callers.get(flow)?.server ?? ''),
+    });
+    this.servers = CookieServerFleet.create({
+      store: this.store,
+      judge: this.judge,
+      clock: this.clock,
+      send: packet => this.sendToCaller(packet),
+      later: (milliseconds, task) => {
+        this.clock.callAt(this.clock.now() + milliseconds, task);
+      },
     });
   }
 
@@ -148,53 +157,33 @@
   startServer(service: string, address?: number): CookieServer {
     this.serverCount += 1;
     const plan = this.plan.services.find(({name}) => name === service);
-    const entry = this.store.putServer({
-      id: `s-${this.serverCount.toString(16).padStart(8, '0')}`,
-      service,
-      address: address ?? FIRST_SERVER_ADDRESS + this.serverCount,
-      port: SERVER_PORT,
-      failureDomain: this.domainOf(this.serverCount),
-      slots: plan?.slots ?? 1,
-      state: ServerState.READY,
-      coldUntil: this.clock.now(),
-    });
-    const server = CookieServer.create({
-      entry,
-      clock: this.clock,
-      workMs: plan?.workMs ?? 1,
-      queueLength: QUEUE_LENGTH,
-      send: packet => this.sendToCaller(packet),
-    });
-    this.servers.set(entry.id, server);
-    this.occupants.set(entry.address, server);
-    return server;
+    return this.servers.start(
+      {
+        id: `s-${this.serverCount.toString(16).padStart(8, '0')}`,
+        service,
+        address: address ?? FIRST_SERVER_ADDRESS + this.serverCount,
+        port: SERVER_PORT,
+        failureDomain: this.domainOf(this.serverCount),
+        slots: plan?.slots ?? 1,
+        coldUntil: this.clock.now(),
+      },
+      {workMs: plan?.workMs ?? 1, queueLength: QUEUE_LENGTH},
+    );
   }
 
   /** Servers of a service that neither drain nor have ended. */
   liveServers(service: string): CookieServer[] {
-    return [...this.servers.values()].filter(
-      ({entry, hasCrashed, state}) =>
-        entry.service === service && !hasCrashed && state === ServerState.READY,
-    );
+    return this.servers.live(service);
   }
 
   /** Has a server drain, and end `afterMs` later. */
   drainServer(server: CookieServer, afterMs: number): void {
-    server.state = ServerState.DRAINING;
-    this.store.putServer({...server.entry, state: ServerState.DRAINING});
-    this.judge.noteDraining(server.entry.id);
-    this.clock.callAt(this.clock.now() + afterMs, () => {
-      server.crash(false);
-      this.store.removeServer(server.entry.id);
-    });
+    this.servers.drain(server, afterMs);
   }
 
   /** Ends a server unplanned; its entry lapses `lapseMs` later. */
   crashServer(server: CookieServer, silent: boolean, lapseMs: number): void {
-    server.crash(silent);
-    this.clock.callAt(this.clock.now() + lapseMs, () =>
-      this.store.removeServer(server.entry.id),
-    );
+    this.servers.crash(server, silent, lapseMs);
   }
 
   /** Starts a daemon that does not run. */
@@ -284,15 +273,8 @@
     meant: CatalogServer,
     cookie: number,
   ): void {
-    this.after(() => {
-      const server = this.occupants.get(meant.address);
-      if (server === undefined || server.entry.id !== meant.id) {
-        this.judge.judgeStray(packet, meant.id);
-        return;
-      }
-      this.judge.judgeArrival(packet, server);
-      server.receive(flowName(packet), packet, cookie);
-    });
+    const {address, id} = meant;
+    this.after(() => this.servers.deliver(packet, address, id, cookie));
   }
 
   /** Hands a daemon's reset over to its caller. */
@@ -378,48 +360,3 @@
     }
   }
 }
-
-/** The fabric of one daemon. */
-export class WorldFabric extends CookieFabric {
-  private handle: ((packet: CookiePacket) => void) | undefined;
-  private isClosed = false;
-
-  private constructor(
-    private readonly world: CookieWorld,
-    private readonly daemon: string,
-  ) {
-    super();
-  }
-
-  /** Creates the fabric of a daemon. */
-  static create(world: CookieWorld, daemon: string): WorldFabric {
-    return new WorldFabric(world, daemon);
-  }
-
-  onPacket(handle: (packet: CookiePacket) => void): void {
-    this.handle = handle;
-  }
-
-  /** Hands a packet over; one that nobody takes is lost. */
-  deliver(packet: CookiePacket): void {
-    if (!this.isClosed) {
-      this.handle?.(packet);
-    }
-  }
-
-  forward(packet: CookiePacket, server: CatalogServer, cookie: number): void {
-    if (!this.isClosed) {
-      this.world.deliverToServer(packet, server, cookie);
-    }
-  }
-
-  reset(packet: CookiePacket): void {
-    if (!this.isClosed) {
-      this.world.deliverReset(packet, this.daemon);
-    }
-  }
-
-  close(): void {
-    this.isClosed = true;
-  }
-}
--- /dev/null
+++ b/standins/world-fabric.ts
@@ -0,0 +1,60 @@
+/** A fabric with cookies between one daemon and a world in memory. */
+import type {CatalogServer} from '../src/catalog/records.js';
+import {CookieFabric, type CookiePacket} from '../src/ports/cookie-fabric.js';
+
+/** The ways from daemons to servers and callers. */
+export interface PacketWays {
+  /** Hands a daemon's packet over to the server that it means. */
+  deliverToServer(
+    packet: CookiePacket,
+    meant: CatalogServer,
+    cookie: number,
+  ): void;
+  /** Hands a daemon's reset over to its caller. */
+  deliverReset(packet: CookiePacket, daemon: string): void;
+}
+
+/** The fabric of one daemon. */
+export class WorldFabric extends CookieFabric {
+  private handle: ((packet: CookiePacket) => void) | undefined;
+  private isClosed = false;
+
+  private constructor(
+    private readonly ways: PacketWays,
+    private readonly daemon: string,
+  ) {
+    super();
+  }
+
+  /** Creates the fabric of a daemon. */
+  static create(ways: PacketWays, daemon: string): WorldFabric {
+    return new WorldFabric(ways, daemon);
+  }
+
+  onPacket(handle: (packet: CookiePacket) => void): void {
+    this.handle = handle;
+  }
+
+  /** Hands a packet over; one that nobody takes is lost. */
+  deliver(packet: CookiePacket): void {
+    if (!this.isClosed) {
+      this.handle?.(packet);
+    }
+  }
+
+  forward(packet: CookiePacket, server: CatalogServer, cookie: number): void {
+    if (!this.isClosed) {
+      this.ways.deliverToServer(packet, server, cookie);
+    }
+  }
+
+  reset(packet: CookiePacket): void {
+    if (!this.isClosed) {
+      this.ways.deliverReset(packet, this.daemon);
+    }
+  }
+
+  close(): void {
+    this.isClosed = true;
+  }
+}
