Failure detector: contacts with peers in a module of their own

Change: PeerContacts keeps the times and their bounds; FailureDetector probes and judges. What each computes, and when, is as before. Behaviour is the same.

--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -17,39 +17,19 @@
   nextLife,
   type Member,
 } from './member.js';
+import {PeerContacts, type PeerContact} from './peer-contacts.js';
 import {
-  CONTACT_MS,
   LOAD_INTERVAL_MS,
   MESH_LIMIT,
   MISSES_BEFORE_SUSPICION,
-  PAUSE_MS,
   PROBE_INTERVAL_MS,
   RELAY_COUNT,
   SUSPICION_MS,
-  TRUST_MS,
 } from './timing.js';
 
+/** Rounds between two probes of a dead member. */
 const ROUNDS_BETWEEN_GREETINGS = 4;
 
-/** What is known of the exchange with one peer; times are monotonic. */
-interface PeerContact {
-  /** Sequence and time of the probe that is not answered yet; 0: none. */
-  pendingSequence: number;
-  pendingSentMs: number;
-  /** Sending time of the newest probe that the peer answered. */
-  answeredSentMs: number;
-  /** Arrival of the newest datagram of the peer. */
-  heardMs: number;
-  /** The peer's log as its newest datagram told. */
-  logEpoch: number;
-  logTop: number;
-  /** Whether the peer said that this daemon answers it. */
-  hearsThis: boolean;
-  misses: number;
-  /** When a suspected peer is declared dead. */
-  suspicionDeadline: number;
-}
-
 /** What the detector asks of its owner. */
 export interface DetectorHooks {
   /** The peer's log of changes holds something that is not staged here. */
@@ -78,21 +58,19 @@
 
 /** Probes the peers of one daemon and judges their answers. */
 export class FailureDetector {
-  private readonly contacts = new Map<string, PeerContact>();
+  private readonly contacts: PeerContacts;
   private sequence = 0;
   private turn = 0;
   private load: LoadVector | undefined;
   private loadDeadline = 0;
   private timer: Timer | undefined;
-  private heardFromAnyMs = -Infinity;
-  private lastTickMs: number;
-  private alone = true;
-  private trustMs = TRUST_MS;
-  private contactMs = CONTACT_MS;
 
   private constructor(private readonly options: DetectorOptions) {
-    this.lastTickMs = options.clock.now();
-    options.members.onChange(() => this.updateBounds());
+    const {members, clock} = options;
+    this.contacts = PeerContacts.create(members.self.id, clock);
+    members.onChange(() =>
+      this.contacts.updateBounds(this.peersToProbe().length),
+    );
   }
 
   /** Creates a detector that does nothing until started. */
@@ -114,7 +92,7 @@
     if (!this.isInTouch(id) || id === this.options.members.self.id) {
       return this.isInTouch(id);
     }
-    const contact = this.contactOf(id);
+    const contact = this.contacts.of(id);
     const {logEpoch, logTop} = contact;
     return !this.options.log.isBehind(id, logEpoch, logTop);
   }
@@ -124,29 +102,20 @@
    * peer did, or there is none.
    */
   isInTouch(id: string): boolean {
-    const limit = this.options.clock.now() - this.trustMs;
-    if (this.hasPaused()) {
-      return false;
-    }
-    if (id === this.options.members.self.id) {
-      return this.heardFromAnyMs >= limit || this.alone;
-    }
-    return (this.contacts.get(id)?.answeredSentMs ?? -Infinity) >= limit;
+    return this.contacts.isInTouch(id);
   }
 
   /** Whether this daemon and the member both had answers of late. */
   isMutual(id: string): boolean {
-    return this.isInTouch(id) && this.contactOf(id).hearsThis;
+    return this.isInTouch(id) && this.contacts.of(id).hearsThis;
   }
 
   /** Members whose confirmation is to be waited for. */
   peersInContact(): string[] {
-    const {clock, members} = this.options;
-    const limit = clock.now() - this.contactMs;
-    return members
+    return this.options.members
       .others()
       .filter(member => member.state !== MemberState.LEFT)
-      .filter(({id}) => this.contactOf(id).heardMs >= limit)
+      .filter(({id}) => this.contacts.isHeard(id))
       .map(({id}) => id);
   }
 
@@ -196,26 +165,9 @@
     }
   }
 
-  /** Whether this process did not run for so long that others gave it up. */
-  private hasPaused(): boolean {
-    return this.options.clock.now() - this.lastTickMs > PAUSE_MS;
-  }
-
-  /** Answers to probes from before a pause say nothing of the time after. */
-  private forgetAnswers(): void {
-    this.heardFromAnyMs = -Infinity;
-    this.contacts.forEach(contact => {
-      contact.answeredSentMs = -Infinity;
-      contact.pendingSequence = 0;
-    });
-  }
-
   private tick(): void {
     const {clock} = this.options;
-    if (this.hasPaused()) {
-      this.forgetAnswers();
-    }
-    this.lastTickMs = clock.now();
+    this.contacts.noteTick();
     this.timer = clock.callAt(clock.now() + PROBE_INTERVAL_MS, () =>
       this.tick(),
     );
@@ -237,7 +189,7 @@
     const start = (this.turn * MESH_LIMIT) % peers.length;
     const inTurn = [...peers, ...peers].slice(start, start + MESH_LIMIT);
     const silent = peers
-      .filter(({id}) => this.contactOf(id).pendingSequence !== 0)
+      .filter(({id}) => this.contacts.of(id).pendingSequence !== 0)
       .filter(peer => !inTurn.includes(peer));
     return [...inTurn, ...silent];
   }
@@ -246,15 +198,6 @@
     return this.options.members.others().filter(answersProbes);
   }
 
-  /** Bounds grow with the rounds that it takes to probe everyone once. */
-  private updateBounds(): void {
-    const peers = this.peersToProbe().length;
-    const moreRounds = Math.max(1, Math.ceil(peers / MESH_LIMIT)) - 1;
-    this.alone = peers === 0;
-    this.trustMs = TRUST_MS + moreRounds * PROBE_INTERVAL_MS * 2;
-    this.contactMs = CONTACT_MS + moreRounds * PROBE_INTERVAL_MS * 4;
-  }
-
   /** Probes one dead member now and then, so that a cut heals. */
   private greetDead(): void {
     const dead = this.options.members
@@ -275,7 +218,7 @@
   }
 
   private probeInTurn(peer: Member): void {
-    const contact = this.contactOf(peer.id);
+    const contact = this.contacts.of(peer.id);
     if (contact.pendingSequence !== 0) {
       this.noteMiss(peer, contact);
     }
@@ -304,7 +247,7 @@
       .others()
       .filter(member => member.state === MemberState.SUSPECT)
       .forEach(member => {
-        const contact = this.contactOf(member.id);
+        const contact = this.contacts.of(member.id);
         if (contact.suspicionDeadline === 0) {
           contact.suspicionDeadline = clock.now() + SUSPICION_MS;
         } else if (contact.suspicionDeadline <= clock.now()) {
@@ -348,18 +291,12 @@
 
   /** A relay had an answer: the member lives, though it is not in touch. */
   private noteVouched(id: string): void {
-    const contact = this.contactOf(id);
-    contact.misses = 0;
-    contact.suspicionDeadline = 0;
+    this.contacts.noteAlive(id);
   }
 
   private sendProbe(peer: Member, counted: boolean): void {
-    const contact = this.contactOf(peer.id);
     this.sequence += 1;
-    if (counted || contact.pendingSequence === 0) {
-      contact.pendingSequence = this.sequence;
-      contact.pendingSentMs = this.options.clock.now();
-    }
+    this.contacts.noteSent(peer.id, this.sequence, counted);
     this.options.peers.probe(peer.address, {
       ...this.message(peer.id, this.sequence, false),
       outOfTouch: counted && !this.isInTouch(peer.id),
@@ -463,12 +400,8 @@
   }
 
   private noteSender(known: Member, probe: Probe): void {
-    const {clock, hooks, log, members} = this.options;
-    const contact = this.contactOf(known.id);
-    contact.heardMs = clock.now();
-    contact.logEpoch = probe.logEpoch;
-    contact.logTop = probe.logTop;
-    contact.hearsThis = probe.inTouch;
+    const {hooks, log, members} = this.options;
+    this.contacts.noteHeard(known.id, probe);
     const {state, incarnation} = memberOf({
       ...known,
       state: probe.state,
@@ -495,44 +428,8 @@
   }
 
   private noteAnswer(sender: string, probe: Probe): void {
-    const contact = this.contactOf(sender);
-    contact.misses = 0;
-    contact.suspicionDeadline = 0;
-    if (contact.pendingSequence === 0) {
-      return;
+    if (this.contacts.noteAnswer(sender, probe.sequence)) {
+      this.options.hooks.onBackInTouch();
     }
-    // A later probe may be answered too; the first pending one is the older.
-    if (probe.sequence >= contact.pendingSequence) {
-      contact.pendingSequence = 0;
-      contact.answeredSentMs = contact.pendingSentMs;
-      const isFirst = this.heardFromAnyMs === -Infinity;
-      this.heardFromAnyMs = Math.max(
-        this.heardFromAnyMs,
-        contact.pendingSentMs,
-      );
-      if (isFirst) {
-        this.options.hooks.onBackInTouch();
-      }
-    }
-  }
-
-  private contactOf(id: string): PeerContact {
-    const known = this.contacts.get(id);
-    if (known !== undefined) {
-      return known;
-    }
-    const created: PeerContact = {
-      pendingSequence: 0,
-      pendingSentMs: 0,
-      answeredSentMs: -Infinity,
-      heardMs: this.options.clock.now(),
-      logEpoch: 0,
-      logTop: 0,
-      hearsThis: false,
-      misses: 0,
-      suspicionDeadline: 0,
-    };
-    this.contacts.set(id, created);
-    return created;
   }
 }
