Commands that show what daemons say in a module of their own

Change: status, timeline, logs and explain stand in observation-commands.ts, what all commands share in command-output.ts; the failure of a log file is reported by one function; times name their unit and meaning. Behaviour is the same.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,6 +1,5 @@
-/** The commands of the operators' tool; each returns its exit code. */
+/** The commands that read and edit the configuration; each returns its exit code. */
 import {randomUUID} from 'node:crypto';
-import {writeFileSync} from 'node:fs';
 import {Result} from 'neverthrow';
 import {adviceFor, type EditFailure} from '../configuration/editor.js';
 import type {ConfigurationDocument} from '../configuration/document.js';
@@ -9,35 +8,23 @@
 import {processSettingsSchema} from '../configuration/process-settings.js';
 import {nextDocument, type Edit} from '../configuration/revision.js';
 import {sourceNameOf} from '../configuration/services.js';
-import {parseSocketAddress} from '../routing/ipv4.js';
-import type {TimelineEvent} from '../generated/peer.js';
-import {tellFlowStory} from './flow-story.js';
+import {
+  ExitCode,
+  print,
+  printError,
+  type CommonOptions,
+} from './command-output.js';
 import {Platform, readText} from './platform.js';
-import {readProcessLogs} from './process-logs.js';
 import {compareTexts} from './text-difference.js';
 import {formatTable} from './text-table.js';
-import {
-  drawEvents,
-  drawPage,
-  mergeEvents,
-  printEvents,
-} from './timeline-view.js';
-
-/** Exit codes of the tool. */
-export const ExitCode = {DONE: 0, FAILED: 1, WRONG_USE: 2} as const;
-/** One of the codes in `ExitCode`. */
-export type ExitCode = (typeof ExitCode)[keyof typeof ExitCode];
 
+/** Time in which an edit has to be accepted, in milliseconds. */
 const EDIT_MS = 15_000;
+/** Longest wait for daemons to have an edit in force, in milliseconds. */
 const WAIT_MS = 30_000;
+/** Pause between two looks at the daemons, in milliseconds. */
 const POLL_MS = 100;
 
-/** Options that several commands share. */
-export interface CommonOptions {
-  readonly config: string;
-  readonly json?: boolean;
-}
-
 /** Options of `apply`. */
 export interface ApplyOptions extends CommonOptions {
   readonly editor?: string;
@@ -48,24 +35,6 @@
   readonly remove?: string | string[];
 }
 
-/** Options of `timeline`. */
-export interface TimelineOptions extends CommonOptions {
-  readonly since?: string;
-  readonly flow?: string;
-  readonly request?: string;
-  readonly server?: string;
-  readonly revision?: string;
-  readonly out?: string;
-}
-
-function print(text: string): void {
-  process.stdout.write(`${text}\n`);
-}
-
-function printError(text: string): void {
-  process.stderr.write(`${text}\n`);
-}
-
 /** `check FILE...`: reads settings, templates and workspaces. */
 export function check(files: readonly string[], json: boolean): ExitCode {
   const faults = files.flatMap(checkFile);
@@ -356,125 +325,3 @@
   );
   return ExitCode.DONE;
 }
-
-/** `status`: what each daemon says of itself. */
-export async function status(
-  platform: Platform,
-  options: CommonOptions,
-): Promise<ExitCode> {
-  const statuses = await platform.statuses();
-  if (options.json === true) {
-    print(JSON.stringify({daemons: statuses}));
-  } else {
-    print(formatTable([STATUS_HEADING, ...statuses.map(statusRow)]));
-  }
-  const silent = statuses.filter(({answer}) => answer === undefined);
-  return statuses.length > 0 && silent.length === 0
-    ? ExitCode.DONE
-    : ExitCode.FAILED;
-}
-
-const STATUS_HEADING = [
-  'daemon',
-  'failure domain',
-  'state',
-  'in force',
-  'staged',
-  'members',
-  'entries',
-  'cached',
-];
-
-function statusRow({
-  id,
-  answer,
-}: Awaited<ReturnType<Platform['statuses']>>[number]): string[] {
-  return answer === undefined
-    ? [id, '', 'no answer']
-    : [
-        id,
-        answer.failureDomain,
-        answer.state,
-        String(answer.revision),
-        String(answer.stagedRevision),
-        String(answer.members),
-        String(answer.exceptions),
-        String(answer.cached),
-      ];
-}
-
-/** `timeline`: events of all processes in causal order. */
-export async function timeline(
-  platform: Platform,
-  options: TimelineOptions,
-): Promise<ExitCode> {
-  const answers = await platform.timelines();
-  return showEvents(
-    answers.flatMap(({answer}) => answer?.events ?? []),
-    options,
-  );
-}
-
-/** Shows the events of daemons' log files, merged and filtered. */
-export function logs(
-  files: readonly string[],
-  options: TimelineOptions,
-): ExitCode {
-  return readProcessLogs(files).match(
-    events => showEvents(events, options),
-    fault => {
-      printError(fault.message);
-      return ExitCode.FAILED;
-    },
-  );
-}
-
-/** Explains from log files what became of a caller's flow. */
-export function explain(
-  source: string,
-  files: readonly string[],
-  options: CommonOptions,
-): ExitCode {
-  if (parseSocketAddress(source) === undefined) {
-    printError(`${source}: name the caller's flow as "a.b.c.d:port"`);
-    return ExitCode.WRONG_USE;
-  }
-  return readProcessLogs(files).match(
-    events => {
-      const story = tellFlowStory(events, source);
-      const text = [printEvents(story.events), '', ...story.findings];
-      print(options.json === true ? JSON.stringify(story) : text.join('\n'));
-      return story.events.length > 0 ? ExitCode.DONE : ExitCode.FAILED;
-    },
-    fault => {
-      printError(fault.message);
-      return ExitCode.FAILED;
-    },
-  );
-}
-
-function showEvents(
-  unsorted: readonly TimelineEvent[],
-  options: TimelineOptions,
-): ExitCode {
-  const events = mergeEvents(unsorted, {
-    sinceMs:
-      options.since === undefined ? undefined : Date.parse(options.since),
-    contains: [
-      options.flow ?? [],
-      options.request ?? [],
-      options.server ?? [],
-      options.revision === undefined ? [] : `"revision":${options.revision}`,
-    ].flat(),
-  });
-  if (options.out !== undefined) {
-    const draw = options.out.endsWith('.html') ? drawPage : drawEvents;
-    writeFileSync(options.out, draw(events));
-    print(`${events.length} events drawn in ${options.out}`);
-  } else {
-    print(
-      options.json === true ? JSON.stringify({events}) : printEvents(events),
-    );
-  }
-  return ExitCode.DONE;
-}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,21 +2,22 @@
 /** The operators' tool. Exit codes: 0 done, 1 failed, 2 wrong use. */
 import {cac} from 'cac';
 import {VERSION} from '../version.js';
+import {ExitCode, type CommonOptions} from './command-output.js';
 import {
-  ExitCode,
   apply,
   check,
   diff,
-  explain,
   history,
-  logs,
   show,
+  type ApplyOptions,
+} from './commands.js';
+import {
+  explain,
+  logs,
   status,
   timeline,
-  type ApplyOptions,
-  type CommonOptions,
   type TimelineOptions,
-} from './commands.js';
+} from './observation-commands.js';
 import {Platform} from './platform.js';
 
 const DEFAULT_SETTINGS = 'weldyard.ini';
--- /dev/null
+++ b/src/cli/observation-commands.ts
@@ -0,0 +1,151 @@
+/**
+ * The commands that show what daemons say of themselves, asked now or in their
+ * log files; each returns its exit code.
+ */
+import {writeFileSync} from 'node:fs';
+import type {TimelineEvent} from '../generated/peer.js';
+import {parseSocketAddress} from '../routing/ipv4.js';
+import {
+  ExitCode,
+  print,
+  printError,
+  type CommonOptions,
+} from './command-output.js';
+import {tellFlowStory} from './flow-story.js';
+import type {Platform} from './platform.js';
+import {readProcessLogs, type LogFileFault} from './process-logs.js';
+import {formatTable} from './text-table.js';
+import {
+  drawEvents,
+  drawPage,
+  mergeEvents,
+  printEvents,
+} from './timeline-view.js';
+
+/** Options of `timeline`. */
+export interface TimelineOptions extends CommonOptions {
+  readonly since?: string;
+  readonly flow?: string;
+  readonly request?: string;
+  readonly server?: string;
+  readonly revision?: string;
+  readonly out?: string;
+}
+
+/** `status`: what each daemon says of itself. */
+export async function status(
+  platform: Platform,
+  options: CommonOptions,
+): Promise<ExitCode> {
+  const statuses = await platform.statuses();
+  if (options.json === true) {
+    print(JSON.stringify({daemons: statuses}));
+  } else {
+    print(formatTable([STATUS_HEADING, ...statuses.map(statusRow)]));
+  }
+  const silent = statuses.filter(({answer}) => answer === undefined);
+  return statuses.length > 0 && silent.length === 0
+    ? ExitCode.DONE
+    : ExitCode.FAILED;
+}
+
+const STATUS_HEADING = [
+  'daemon',
+  'failure domain',
+  'state',
+  'in force',
+  'staged',
+  'members',
+  'entries',
+  'cached',
+];
+
+function statusRow({
+  id,
+  answer,
+}: Awaited<ReturnType<Platform['statuses']>>[number]): string[] {
+  return answer === undefined
+    ? [id, '', 'no answer']
+    : [
+        id,
+        answer.failureDomain,
+        answer.state,
+        String(answer.revision),
+        String(answer.stagedRevision),
+        String(answer.members),
+        String(answer.exceptions),
+        String(answer.cached),
+      ];
+}
+
+/** `timeline`: events of all processes in causal order. */
+export async function timeline(
+  platform: Platform,
+  options: TimelineOptions,
+): Promise<ExitCode> {
+  const answers = await platform.timelines();
+  return showEvents(
+    answers.flatMap(({answer}) => answer?.events ?? []),
+    options,
+  );
+}
+
+/** `logs FILE...`: shows the events of daemons' log files, merged and filtered. */
+export function logs(
+  files: readonly string[],
+  options: TimelineOptions,
+): ExitCode {
+  return readProcessLogs(files).match(
+    events => showEvents(events, options),
+    reportFault,
+  );
+}
+
+/** `explain FLOW FILE...`: what became of a caller's flow. */
+export function explain(
+  source: string,
+  files: readonly string[],
+  options: CommonOptions,
+): ExitCode {
+  if (parseSocketAddress(source) === undefined) {
+    printError(`${source}: name the caller's flow as "a.b.c.d:port"`);
+    return ExitCode.WRONG_USE;
+  }
+  return readProcessLogs(files).match(events => {
+    const story = tellFlowStory(events, source);
+    const text = [printEvents(story.events), '', ...story.findings];
+    print(options.json === true ? JSON.stringify(story) : text.join('\n'));
+    return story.events.length > 0 ? ExitCode.DONE : ExitCode.FAILED;
+  }, reportFault);
+}
+
+function showEvents(
+  unsorted: readonly TimelineEvent[],
+  options: TimelineOptions,
+): ExitCode {
+  const events = mergeEvents(unsorted, {
+    sinceMs:
+      options.since === undefined ? undefined : Date.parse(options.since),
+    contains: [
+      options.flow ?? [],
+      options.request ?? [],
+      options.server ?? [],
+      options.revision === undefined ? [] : `"revision":${options.revision}`,
+    ].flat(),
+  });
+  if (options.out !== undefined) {
+    const draw = options.out.endsWith('.html') ? drawPage : drawEvents;
+    writeFileSync(options.out, draw(events));
+    print(`${events.length} events drawn in ${options.out}`);
+  } else {
+    print(
+      options.json === true ? JSON.stringify({events}) : printEvents(events),
+    );
+  }
+  return ExitCode.DONE;
+}
+
+function reportFault(fault: LogFileFault): ExitCode {
+  printError(fault.message);
+  return ExitCode.FAILED;
+}
