Failure detector: news of members taken by a module of their own

Cause: the detector also judged what others say of this daemon. Change: MemberNews merges news, overrides what is wrong of this daemon and starts a new life; the detector hands it the updates of each probe. Behaviour is the same.

--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -9,12 +9,12 @@
 import type {Peers} from '../ports/peers.js';
 import type {ChangeLog} from './change-log.js';
 import type {MemberList} from './member-list.js';
+import {MemberNews} from './member-news.js';
 import {
   MemberState,
   answersProbes,
   lifeOf,
   memberOf,
-  nextLife,
   type Member,
 } from './member.js';
 import {PeerContacts, type PeerContact} from './peer-contacts.js';
@@ -59,6 +59,7 @@
 /** Probes the peers of one daemon and judges their answers. */
 export class FailureDetector {
   private readonly contacts: PeerContacts;
+  private readonly news: MemberNews;
   private sequence = 0;
   private turn = 0;
   private load: LoadVector | undefined;
@@ -66,8 +67,12 @@
   private timer: Timer | undefined;
 
   private constructor(private readonly options: DetectorOptions) {
-    const {members, clock} = options;
+    const {members, clock, hooks} = options;
     this.contacts = PeerContacts.create(members.self.id, clock);
+    this.news = MemberNews.create(members, {
+      announce: () => this.announce(),
+      onDeclaredDead: () => hooks.onDeclaredDead(),
+    });
     members.onChange(() =>
       this.contacts.updateBounds(this.peersToProbe().length),
     );
@@ -139,7 +144,7 @@
 
   /** Handles a probe or an answer of a member. */
   onProbe(sender: string, probe: Probe, address: string): void {
-    this.mergeNews(probe);
+    this.news.merge(probe.updates);
     if (probe.subject !== '') {
       this.noteVouched(probe.subject);
     } else if (probe.relayTo !== '') {
@@ -355,50 +360,6 @@
     return {state, incarnation};
   }
 
-  private mergeNews(probe: Probe): void {
-    const {members} = this.options;
-    const self = members.self;
-    probe.updates
-      .filter(update => update.id !== self.id)
-      .forEach(update => members.merge(update));
-    probe.updates
-      .filter(update => update.id === self.id)
-      .forEach(update => this.refute(memberOf(update)));
-  }
-
-  /** Overrides what others say of this daemon. */
-  private refute(said: Member): void {
-    const {members} = this.options;
-    const self = members.self;
-    const sameLife = lifeOf(said.incarnation) === lifeOf(self.incarnation);
-    const isOver = self.state === MemberState.LEFT;
-    if (isOver || !sameLife) {
-      return;
-    }
-    if (said.state === MemberState.DEAD) {
-      this.startNewLife();
-    } else if (
-      said.state === MemberState.SUSPECT &&
-      said.incarnation >= self.incarnation
-    ) {
-      members.renewSelf(self.state, said.incarnation + 1);
-      this.announce();
-    }
-  }
-
-  /** Others own this daemon's part by now, so it has to join again. */
-  private startNewLife(): void {
-    const {members, hooks} = this.options;
-    const self = members.self;
-    const leaves = self.state === MemberState.LEAVING;
-    const state = leaves ? MemberState.LEAVING : MemberState.JOINING;
-    members.renewSelf(state, nextLife(self.incarnation));
-    this.announce();
-    if (!leaves) {
-      hooks.onDeclaredDead();
-    }
-  }
-
   private noteSender(known: Member, probe: Probe): void {
     const {hooks, log, members} = this.options;
     this.contacts.noteHeard(known.id, probe);
