--- a/src/adapters/plain-http-server.ts
+++ b/src/adapters/plain-http-server.ts
@@ -23,12 +23,7 @@
   const server = http.createServer((request, response) => {
     const path = (request.url ?? '/').split('?')[0];
     Promise.resolve(handle(path)).then(
-      answer => {
-        response.writeHead(answer?.status ?? NOT_FOUND, {
-          'content-type': 'text/plain',
-        });
-        response.end(answer?.text ?? '');
-      },
+      answer => send(response, answer),
       () => response.destroy(),
     );
   });
@@ -43,3 +38,12 @@
     });
   });
 }
+
+function send(
+  response: http.ServerResponse,
+  answer: TextAnswer | undefined,
+): void {
+  const status = answer?.status ?? NOT_FOUND;
+  response.writeHead(status, {'content-type': 'text/plain'});
+  response.end(answer?.text ?? '');
+}
