Pulls carry what changed; a change costs the same in a large list

Change: a table of servers with a running digest and a record of removals; a pull says the revision that it holds and gets the changes since; openings weigh 32 servers of a large service; two daemons that differ at one revision exchange whole lists.

--- a/src/adapters/datagram-fleet.spec.ts
+++ b/src/adapters/datagram-fleet.spec.ts
@@ -49,8 +49,12 @@
   };
   await first.fleet.serve({
     onBeat: (sender, beat) => heard.push([sender, beat]),
-    onPull: (routeVersion, serverDigest) => ({
-      routes: {version: routeVersion + 1, ageMs: serverDigest, routes: []},
+    onPull: ({routeVersion, serverRevision, serverDigest}) => ({
+      routes: {
+        version: routeVersion + serverRevision,
+        ageMs: serverDigest,
+        routes: [],
+      },
       servers: undefined,
     }),
   });
@@ -61,7 +65,11 @@
     await until(() => heard.length === 1);
     assert.deepEqual(heard[0], [SECOND, BEAT]);
 
-    const pulled = await second.fleet.pull(FIRST, 41, 3, clock.now() + 1_000);
+    const pulled = await second.fleet.pull(
+      FIRST,
+      {routeVersion: 41, serverRevision: 1, serverDigest: 3},
+      clock.now() + 1_000,
+    );
     assert.equal(pulled._unsafeUnwrap().routes?.version, 42);
     assert.equal(pulled._unsafeUnwrap().routes?.ageMs, 3);
 
@@ -85,7 +93,11 @@
 
 test('a pull from a peer that is not there fails with a type', async () => {
   const {fleet} = createFleet(SECOND);
-  const pulled = await fleet.pull(FIRST, 0, 0, clock.now() + 500);
+  const pulled = await fleet.pull(
+    FIRST,
+    {routeVersion: 0, serverRevision: 0, serverDigest: 0},
+    clock.now() + 500,
+  );
   assert.equal(pulled._unsafeUnwrapErr().type, 'PeerUnavailable');
 });
 
--- a/src/adapters/datagram-fleet.ts
+++ b/src/adapters/datagram-fleet.ts
@@ -5,7 +5,11 @@
 import {Beat, CatalogUpdate} from '../generated/catalog.js';
 import type {Clock} from '../ports/clock.js';
 import {Metric, type Counters} from '../ports/counters.js';
-import {FleetChannel, type FleetHandlers} from '../ports/fleet-channel.js';
+import {
+  FleetChannel,
+  type FleetHandlers,
+  type HeldVersions,
+} from '../ports/fleet-channel.js';
 import {PeerUnavailable} from '../ports/peers.js';
 import {formatIpv4, parseIpv4} from '../routing/ipv4.js';
 import {bindUdp} from './udp-socket.js';
@@ -70,11 +74,15 @@
 
   pull(
     address: number,
-    routeVersion: number,
-    serverDigest: number,
+    held: HeldVersions,
     deadline: number,
   ): ResultAsync<CatalogUpdate, PeerUnavailable> {
-    const path = `${PULL_PATH}?routes=${routeVersion}&servers=${serverDigest}`;
+    const query = new URLSearchParams({
+      routes: String(held.routeVersion),
+      revision: String(held.serverRevision),
+      servers: String(held.serverDigest),
+    });
+    const path = `${PULL_PATH}?${query.toString()}`;
     return new ResultAsync(this.fetch(address, path, deadline));
   }
 
@@ -154,10 +162,11 @@
     return;
   }
   const held = new URLSearchParams(query);
-  const update = handlers.onPull(
-    Number(held.get('routes')),
-    Number(held.get('servers')),
-  );
+  const update = handlers.onPull({
+    routeVersion: Number(held.get('routes')),
+    serverRevision: Number(held.get('revision')),
+    serverDigest: Number(held.get('servers')),
+  });
   response.writeHead(OK, {connection: 'close'});
   response.end(CatalogUpdate.encode(update).finish());
 }
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -6,6 +6,7 @@
   ServerEntry,
   ServerList,
 } from '../generated/catalog.js';
+import type {HeldVersions} from '../ports/fleet-channel.js';
 import {destinationKey} from '../routing/flow-key.js';
 import type {Catalog, KnownRoute} from './catalog.js';
 import {ServerState, type CatalogServer} from './records.js';
@@ -18,23 +19,23 @@
   return Math.round(Math.min(OLDEST_AGE_MS, Math.max(0, now - at)));
 }
 
-/** What a daemon with these versions lacks. */
+/** What a daemon that holds these versions lacks. */
 export function updateFor(
   catalog: Catalog,
-  routeVersion: number,
-  serverDigest: number,
+  held: HeldVersions,
   now: number,
 ): CatalogUpdate {
   const {stamp} = catalog;
+  const lacksServers =
+    stamp.serverRevision > 0 && stamp.serverDigest !== held.serverDigest;
   return {
     routes:
-      stamp.routeVersion > routeVersion
+      stamp.routeVersion > held.routeVersion
         ? encodeRoutes(catalog, now)
         : undefined,
-    servers:
-      stamp.serverRevision > 0 && stamp.serverDigest !== serverDigest
-        ? encodeServers(catalog, now)
-        : undefined,
+    servers: lacksServers
+      ? encodeServers(catalog, held.serverRevision, now)
+      : undefined,
   };
 }
 
@@ -48,11 +49,17 @@
     applyRoutes(catalog, update.routes, now);
   }
   if (update.servers !== undefined) {
-    const {revision, ageMs, servers} = update.servers;
-    catalog.takeServers(
-      {revision, servers: servers.map(entry => decodeServer(entry, now))},
-      now - ageMs,
-    );
+    applyServers(catalog, update.servers, now);
+  }
+}
+
+function applyServers(catalog: Catalog, list: ServerList, now: number): void {
+  const {revision, ageMs, removed, whole} = list;
+  const written = list.servers.map(entry => decodeServer(entry, now));
+  if (whole) {
+    catalog.takeServers({revision, servers: written}, now - ageMs);
+  } else {
+    catalog.takeServerChanges({written, removed}, revision, now - ageMs);
   }
 }
 
@@ -94,12 +101,21 @@
   };
 }
 
-function encodeServers(catalog: Catalog, now: number): ServerList {
+/** The changes since a revision, or the whole list where they are not known. */
+function encodeServers(
+  catalog: Catalog,
+  since: number,
+  now: number,
+): ServerList {
   const {serverRevision, serversConfirmedAt} = catalog.stamp;
+  const changes = since === 0 ? undefined : catalog.serverChangesSince(since);
+  const servers = changes?.written ?? catalog.allServers();
   return {
     revision: serverRevision,
     ageMs: ageOf(serversConfirmedAt, now),
-    servers: catalog.allServers().map(server => encodeServer(server, now)),
+    servers: servers.map(server => encodeServer(server, now)),
+    whole: changes === undefined,
+    removed: [...(changes?.removed ?? [])],
   };
 }
 
--- a/src/catalog/catalog.spec.ts
+++ b/src/catalog/catalog.spec.ts
@@ -8,6 +8,8 @@
 
 const hasher = await XxhashHasher.create();
 
+const NOTHING = {routeVersion: 0, serverRevision: 0, serverDigest: 0};
+
 function createCatalog(): Catalog {
   return Catalog.create({hasher, flowLifetimeMs: 60_000});
 }
@@ -122,7 +124,7 @@
   const servers = [serverOf('i-1', 3), serverOf('i-2', 4, {state: 'draining'})];
   holder.takeServers({revision: 9, servers}, 1_500);
   const puller = createCatalog();
-  applyUpdate(puller, updateFor(holder, 0, 0, 2_000), 7_000);
+  applyUpdate(puller, updateFor(holder, NOTHING, 2_000), 7_000);
   const {routesConfirmedAt, serversConfirmedAt, ...held} = puller.stamp;
   const {stamp} = holder;
   assert.deepEqual(held, {
@@ -134,10 +136,17 @@
   assert.equal(serversConfirmedAt, 6_500);
   const [pulled] = puller.allRoutes();
   assert.deepEqual([...pulled.allowedServices].sort(), ['docs', 'pay']);
-  assert.deepEqual(updateFor(holder, 2, stamp.serverDigest, 0), {
-    routes: undefined,
-    servers: undefined,
-  });
+  assert.deepEqual(
+    updateFor(
+      holder,
+      {routeVersion: 2, serverRevision: 9, serverDigest: stamp.serverDigest},
+      0,
+    ),
+    {
+      routes: undefined,
+      servers: undefined,
+    },
+  );
 });
 
 test("a peer's revision is not taken before its routes are", () => {
@@ -150,3 +159,64 @@
   catalog.confirmServers({revision: 9, digest, routeVersion: 1}, 100);
   assert.equal(catalog.stamp.serverRevision, 9);
 });
+
+test('a pull after one change carries that change alone, and leads to the same list', () => {
+  const holder = createCatalog();
+  const puller = createCatalog();
+  const first = Array.from({length: 50}, (_server, index) =>
+    serverOf(`i-${index}`, index + 1),
+  );
+  [holder, puller].forEach(catalog =>
+    catalog.takeServers({revision: 50, servers: first}, 0),
+  );
+  holder.takeEvents(
+    {
+      revision: 53,
+      routes: undefined,
+      written: [
+        serverOf('i-60', 51),
+        {...first[7], state: 'draining', revision: 52},
+      ],
+      removed: [{id: 'i-3', revision: 53}],
+    },
+    100,
+  );
+  const {serverRevision, serverDigest} = puller.stamp;
+  const held = {routeVersion: 0, serverRevision, serverDigest};
+  const update = updateFor(holder, held, 200);
+  assert.equal(update.servers?.servers.length, 2);
+  assert.deepEqual(update.servers?.removed, [{id: 'i-3', revision: 53}]);
+  applyUpdate(puller, update, 200);
+  assert.equal(puller.stamp.serverDigest, holder.stamp.serverDigest);
+  assert.equal(puller.stamp.serverRevision, 53);
+  const old = updateFor(holder, {...held, serverRevision: 49}, 200);
+  assert.equal(old.servers?.whole, true);
+  assert.equal(old.servers?.servers.length, 50);
+});
+
+test('digests are the same for the same servers, however they came', () => {
+  fc.assert(
+    fc.property(EVENTS, changes => {
+      const catalog = createCatalog();
+      catalog.takeServers({revision: 1, servers: []}, 0);
+      changes.forEach(({id, kind}, index) => {
+        const revision = index + 2;
+        const isRemoved = kind === 'removed';
+        catalog.takeEvents(
+          {
+            revision,
+            routes: undefined,
+            written: isRemoved ? [] : [stateOf(id, kind, revision)],
+            removed: isRemoved ? [{id, revision}] : [],
+          },
+          revision,
+        );
+      });
+      const copy = createCatalog();
+      const servers = catalog.allServers().reverse();
+      copy.takeServers({revision: 99, servers}, 0);
+      assert.equal(copy.stamp.serverDigest, catalog.stamp.serverDigest);
+    }),
+    {seed: 9, numRuns: 300},
+  );
+});
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -7,17 +7,15 @@
 import {CookieIndex} from './cookie-index.js';
 import {Departures} from './departures.js';
 import {
-  ServerState,
   type CatalogEvents,
   type CatalogRoute,
   type CatalogServer,
   type CatalogStamp,
+  type RemovedServer,
   type RouteListing,
   type ServerListing,
 } from './records.js';
-
-/** Sets the digest's hashes apart from those of other uses. */
-const DIGEST_SEED = 23;
+import {ServerTable, type ServerChanges} from './server-table.js';
 
 /** A route with every service that a version ever gave to it. */
 export interface KnownRoute extends CatalogRoute {
@@ -53,10 +51,7 @@
 
 /** Routes and backend servers as one daemon knows them. */
 export class Catalog {
-  private readonly servers = new Map<string, CatalogServer>();
-  private readonly byService = new Map<string, CatalogServer[]>();
-  /** Listed servers whose address a later server has taken: they have ended. */
-  private readonly succeeded = new Set<string>();
+  private readonly servers: ServerTable;
   private readonly departures: Departures;
   private readonly cookies: CookieIndex;
   private readonly routes = new Map<number, KnownRoute>();
@@ -65,10 +60,10 @@
   private routeVersion = 0;
   private routesConfirmedAt = -Infinity;
   private serverRevision = 0;
-  private serverDigest = 0;
   private serversConfirmedAt = -Infinity;
 
-  private constructor(private readonly options: CatalogOptions) {
+  private constructor(options: CatalogOptions) {
+    this.servers = ServerTable.create(options.hasher);
     this.departures = Departures.create(options.flowLifetimeMs);
     this.cookies = CookieIndex.create(options.hasher);
   }
@@ -86,12 +81,12 @@
   /** What tells this state apart from another daemon's. */
   get stamp(): CatalogStamp {
     const {routeVersion, routesConfirmedAt} = this;
-    const {serverRevision, serverDigest, serversConfirmedAt} = this;
+    const {serverRevision, serversConfirmedAt} = this;
     return {
       routeVersion,
       routesConfirmedAt,
       serverRevision,
-      serverDigest,
+      serverDigest: this.servers.digest,
       serversConfirmedAt,
     };
   }
@@ -113,12 +108,12 @@
 
   /** All servers in the list. */
   allServers(): CatalogServer[] {
-    return [...this.servers.values()];
+    return this.servers.all();
   }
 
   /** Servers of a service that take new flows. */
   openServers(service: string): readonly CatalogServer[] {
-    return this.byService.get(service) ?? [];
+    return this.servers.openServers(service, this.departures.lapsed());
   }
 
   /** The cookie that names a server, or undefined while it names another too. */
@@ -143,7 +138,9 @@
 
   /** Whether a server has ended for certain. */
   isGone(server: CatalogServer): boolean {
-    return this.succeeded.has(server.id) || this.departures.isGone(server.id);
+    return (
+      this.servers.isSucceeded(server.id) || this.departures.isGone(server.id)
+    );
   }
 
   /**
@@ -182,19 +179,14 @@
     if (listing.revision < this.serverRevision) {
       return;
     }
-    this.serverRevision = listing.revision;
-    const present = new Set(listing.servers.map(({id}) => id));
-    const departed = this.allServers().filter(({id}) => !present.has(id));
-    const changed = listing.servers.filter(server => this.isNews(server));
-    this.noteServersConfirmed(confirmedAt);
-    departed.forEach(server => this.depart(server, confirmedAt));
-    listing.servers.forEach(server => this.putServer(server));
-    this.findSucceeded();
-    this.rebuildOpen();
-    if (changed.length > 0 || departed.length > 0) {
-      this.serverDigest = this.digest();
-      this.tell({changed, departed});
+    if (this.serverRevision === 0) {
+      this.servers.startAt(listing.revision);
     }
+    const present = new Set(listing.servers.map(({id}) => id));
+    const removed = this.allServers()
+      .filter(({id}) => !present.has(id))
+      .map(({id}) => ({id, revision: listing.revision}));
+    this.apply(listing.servers, removed, listing.revision, confirmedAt);
   }
 
   /** Takes what the store reported since the revision that is held. */
@@ -205,22 +197,28 @@
     } else {
       this.takeRoutes(events.routes, confirmedAt);
     }
-    const servers = new Map(this.servers);
-    written
-      .filter(server => isLater(server, servers.get(server.id)))
-      .forEach(server => servers.set(server.id, server));
-    removed
-      .filter(entry => isLater(entry, servers.get(entry.id)))
-      .forEach(({id}) => servers.delete(id));
-    this.takeServers(
-      {
-        revision: Math.max(revision, this.serverRevision),
-        servers: [...servers.values()],
-      },
+    this.takeServerChanges({written, removed}, revision, confirmedAt);
+  }
+
+  /** Takes changes of the servers that lead to a revision; older ones are left. */
+  takeServerChanges(
+    {written, removed}: ServerChanges,
+    revision: number,
+    confirmedAt: number,
+  ): void {
+    this.apply(
+      written.filter(server => isLater(server, this.servers.get(server.id))),
+      removed.filter(entry => isLater(entry, this.servers.get(entry.id))),
+      Math.max(revision, this.serverRevision),
       confirmedAt,
     );
   }
 
+  /** Changes of the servers after a revision, if they are still known. */
+  serverChangesSince(revision: number): ServerChanges | undefined {
+    return this.servers.changesSince(revision);
+  }
+
   /** Notes that nothing was written up to a time. */
   confirmAll(at: number): void {
     this.routesConfirmedAt = Math.max(this.routesConfirmedAt, at);
@@ -232,7 +230,7 @@
    * time. Its revision is taken only if its routes are held here as well.
    */
   confirmServers(told: ToldServers, at: number): void {
-    if (told.digest !== this.serverDigest || this.serverRevision === 0) {
+    if (told.digest !== this.servers.digest || this.serverRevision === 0) {
       return;
     }
     if (told.routeVersion <= this.routeVersion) {
@@ -244,31 +242,57 @@
   private noteServersConfirmed(at: number): void {
     this.serversConfirmedAt = Math.max(this.serversConfirmedAt, at);
     const lapsedBefore = this.departures.lapsed().length;
-    this.departures.confirm(at);
+    const forgotten = this.departures.confirm(at);
+    forgotten.forEach(id => this.cookies.remove(id));
     if (this.departures.lapsed().length !== lapsedBefore) {
-      this.rebuildOpen();
+      this.servers.refreshOpen();
     }
-    this.cookies.retain([...this.servers.values(), ...this.departures.all()]);
   }
 
-  private isNews(server: CatalogServer): boolean {
-    const known = this.servers.get(server.id);
-    return known === undefined || known.state !== server.state;
+  /** Brings the servers to a revision; an id may be written and then removed. */
+  private apply(
+    written: readonly CatalogServer[],
+    removed: readonly RemovedServer[],
+    revision: number,
+    confirmedAt: number,
+  ): void {
+    this.serverRevision = revision;
+    const changed = written.filter(server => this.servers.isNews(server));
+    this.noteServersConfirmed(confirmedAt);
+    written.forEach(server => this.putServer(server));
+    const departed = removed.flatMap(({id, revision: at}) =>
+      this.depart(id, at, confirmedAt),
+    );
+    if (changed.length > 0 || departed.length > 0) {
+      this.tell({changed, departed});
+    }
   }
 
-  private depart(server: CatalogServer, at: number): void {
-    this.servers.delete(server.id);
-    this.departures.add(server, at);
+  private depart(
+    id: string,
+    revision: number,
+    confirmedAt: number,
+  ): CatalogServer[] {
+    const server = this.servers.get(id);
+    if (server === undefined || server.revision > revision) {
+      return [];
+    }
+    const wasSucceeded = this.servers.isSucceeded(id);
+    this.servers.remove(server, revision);
+    this.departures.add(server, confirmedAt);
+    if (wasSucceeded) {
+      this.departures.supersede(server.address, server.port);
+    }
+    return [server];
   }
 
   private putServer(server: CatalogServer): void {
-    const known = this.servers.get(server.id);
-    this.departures.remove(server.id);
-    if (known === undefined) {
+    if (this.servers.get(server.id) === undefined) {
+      this.departures.remove(server.id);
       this.departures.supersede(server.address, server.port);
       this.cookies.add(server);
     }
-    this.servers.set(server.id, server);
+    this.servers.put(server);
   }
 
   private putRoute(route: CatalogRoute): void {
@@ -287,47 +311,6 @@
     return known;
   }
 
-  private findSucceeded(): void {
-    const newest = new Map<number, CatalogServer>();
-    this.servers.forEach(server => {
-      const key = destinationKey(server.address, server.port);
-      const other = newest.get(key);
-      if (
-        other === undefined ||
-        other.createdRevision < server.createdRevision
-      ) {
-        newest.set(key, server);
-      }
-    });
-    this.succeeded.clear();
-    this.servers.forEach(server => {
-      const key = destinationKey(server.address, server.port);
-      if (newest.get(key) !== server) {
-        this.succeeded.add(server.id);
-      }
-    });
-  }
-
-  private rebuildOpen(): void {
-    this.byService.clear();
-    [...this.servers.values(), ...this.departures.lapsed()]
-      .filter(({state}) => state === ServerState.READY)
-      .filter(({id}) => !this.succeeded.has(id))
-      .forEach(server => {
-        const others = this.byService.get(server.service) ?? [];
-        this.byService.set(server.service, [...others, server]);
-      });
-  }
-
-  /** The same for equal sets of servers, in whatever order they came. */
-  private digest(): number {
-    return this.allServers()
-      .map(({id, state}) =>
-        this.options.hasher.hashText(`${id}/${state}`, DIGEST_SEED),
-      )
-      .reduce((sum, hash) => (sum ^ hash) >>> 0, 0);
-  }
-
   private tell(change: CatalogChange): void {
     this.listeners.forEach(listener => listener(change));
   }
--- a/src/catalog/cookie-index.spec.ts
+++ b/src/catalog/cookie-index.spec.ts
@@ -81,6 +81,6 @@
   index.add(first);
   assert.equal(index.cookieOf(first), 2);
   assert.equal(index.cookieOf(second), undefined);
-  index.retain([second]);
+  index.remove(first.id);
   assert.equal(index.cookieOf(second), 2);
 });
--- a/src/catalog/cookie-index.ts
+++ b/src/catalog/cookie-index.ts
@@ -35,15 +35,12 @@
     this.byCookie.set(cookie, named);
   }
 
-  /** Drops all servers but these. */
-  retain(servers: readonly CatalogServer[]): void {
-    if (servers.length >= this.cookies.size) {
-      return;
+  /** Drops a server. */
+  remove(id: string): void {
+    const cookie = this.cookies.get(id);
+    if (cookie !== undefined) {
+      this.drop(id, cookie);
     }
-    const kept = new Set(servers.map(({id}) => id));
-    [...this.cookies]
-      .filter(([id]) => !kept.has(id))
-      .forEach(([id, cookie]) => this.drop(id, cookie));
   }
 
   /** The cookie of a server; undefined while an earlier server has it. */
--- a/src/catalog/departures.ts
+++ b/src/catalog/departures.ts
@@ -47,10 +47,13 @@
     return new Departures(flowLifetimeMs);
   }
 
-  /** Notes that the list was read at a time, whatever it said. */
-  confirm(at: number): void {
+  /**
+   * Notes that the list was read at a time, whatever it said; returns the ids of
+   * servers that are forgotten with it.
+   */
+  confirm(at: number): string[] {
     if (at <= this.confirmedAt) {
-      return;
+      return [];
     }
     if (at - this.confirmedAt > OUTAGE_GAP_MS) {
       this.steadySince = at;
@@ -62,7 +65,7 @@
     this.departures.forEach(departure => {
       departure.gone ||= at - departure.missingSince >= LAPSE_GRACE_MS;
     });
-    this.forgetOld(at);
+    return this.forgetOld(at);
   }
 
   /** Whether reads without a gap go back further than an entry may lapse. */
@@ -112,9 +115,11 @@
     return [...this.departures.values()].map(({server}) => server);
   }
 
-  private forgetOld(at: number): void {
-    [...this.departures]
+  private forgetOld(at: number): string[] {
+    const old = [...this.departures]
       .filter(([, {forgetAt}]) => forgetAt <= at)
-      .forEach(([id]) => this.departures.delete(id));
+      .map(([id]) => id);
+    old.forEach(id => this.departures.delete(id));
+    return old;
   }
 }
--- /dev/null
+++ b/src/catalog/server-table.ts
@@ -0,0 +1,165 @@
+/**
+ * The listed backend servers of one daemon, with what is worked out from them:
+ * who takes new flows, a digest, and what changed since a revision. Each change
+ * costs the same however many servers there are.
+ */
+import type {Hasher} from '../ports/hasher.js';
+import {destinationKey} from '../routing/flow-key.js';
+import {
+  ServerState,
+  type CatalogServer,
+  type RemovedServer,
+} from './records.js';
+
+/** Sets the digest's hashes apart from those of other uses. */
+const DIGEST_SEED = 23;
+/** Removals remembered for peers that pull; older ones cost them the whole list. */
+const MAXIMUM_REMOVALS = 2_000;
+
+/** What changed since a revision. */
+export interface ServerChanges {
+  readonly written: readonly CatalogServer[];
+  readonly removed: readonly RemovedServer[];
+}
+
+/** The listed servers. */
+export class ServerTable {
+  private readonly servers = new Map<string, CatalogServer>();
+  /** The server that came last to each address. */
+  private readonly newestAt = new Map<number, CatalogServer>();
+  /** Servers whose address a later server has taken: they have ended. */
+  private readonly succeeded = new Set<string>();
+  /** Servers that take new flows, for the services that were asked for. */
+  private readonly open = new Map<string, readonly CatalogServer[]>();
+  private removals: RemovedServer[] = [];
+  /** All removals after this revision are remembered. */
+  private removalsSince = 0;
+  private hash = 0;
+
+  private constructor(private readonly hasher: Hasher) {}
+
+  /** Creates an empty table. */
+  static create(hasher: Hasher): ServerTable {
+    return new ServerTable(hasher);
+  }
+
+  /** The same for equal sets of servers, in whatever order they came. */
+  get digest(): number {
+    return this.hash;
+  }
+
+  /** All listed servers. */
+  all(): CatalogServer[] {
+    return [...this.servers.values()];
+  }
+
+  /** A listed server. */
+  get(id: string): CatalogServer | undefined {
+    return this.servers.get(id);
+  }
+
+  /** Whether a later server has the address of a listed one. */
+  isSucceeded(id: string): boolean {
+    return this.succeeded.has(id);
+  }
+
+  /** Whether a record says more than the one that is held. */
+  isNews(server: CatalogServer): boolean {
+    const known = this.servers.get(server.id);
+    return known === undefined || known.state !== server.state;
+  }
+
+  /** Takes a server's newest record. */
+  put(server: CatalogServer): void {
+    const known = this.servers.get(server.id);
+    this.hash ^= known === undefined ? 0 : this.hashOf(known);
+    this.hash = (this.hash ^ this.hashOf(server)) >>> 0;
+    this.servers.set(server.id, server);
+    this.open.delete(server.service);
+    this.noteAddress(server);
+  }
+
+  /** Removes a server that the list of a revision does not hold. */
+  remove(server: CatalogServer, revision: number): void {
+    this.servers.delete(server.id);
+    this.succeeded.delete(server.id);
+    this.hash = (this.hash ^ this.hashOf(server)) >>> 0;
+    this.open.delete(server.service);
+    const key = destinationKey(server.address, server.port);
+    if (this.newestAt.get(key)?.id === server.id) {
+      this.newestAt.delete(key);
+    }
+    this.rememberRemoval({id: server.id, revision});
+  }
+
+  /** Notes that the table is complete as of a revision, and not before. */
+  startAt(revision: number): void {
+    this.removalsSince = revision;
+  }
+
+  /** Servers of a service that take new flows, `lapsed` ones included. */
+  openServers(
+    service: string,
+    lapsed: readonly CatalogServer[],
+  ): readonly CatalogServer[] {
+    const known = this.open.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const open = [...this.all(), ...lapsed].filter(
+      server =>
+        server.service === service &&
+        server.state === ServerState.READY &&
+        !this.succeeded.has(server.id),
+    );
+    this.open.set(service, open);
+    return open;
+  }
+
+  /** Forgets who takes new flows: the lapsed servers changed. */
+  refreshOpen(): void {
+    this.open.clear();
+  }
+
+  /** Changes after a revision; undefined when only the whole list tells them. */
+  changesSince(revision: number): ServerChanges | undefined {
+    return revision < this.removalsSince
+      ? undefined
+      : {
+          written: this.all().filter(server => server.revision > revision),
+          removed: this.removals.filter(removal => removal.revision > revision),
+        };
+  }
+
+  private noteAddress(server: CatalogServer): void {
+    const key = destinationKey(server.address, server.port);
+    const other = this.newestAt.get(key);
+    const isNewest =
+      other === undefined || other.createdRevision <= server.createdRevision;
+    if (isNewest) {
+      this.newestAt.set(key, server);
+    }
+    const ended = isNewest ? other : server;
+    if (ended !== undefined && ended.id !== this.newestAt.get(key)?.id) {
+      this.succeeded.add(ended.id);
+      this.open.delete(ended.service);
+    }
+  }
+
+  private rememberRemoval(removal: RemovedServer): void {
+    this.removals.push(removal);
+    if (this.removals.length > MAXIMUM_REMOVALS) {
+      const [dropped] = this.removals.splice(0, MAXIMUM_REMOVALS / 2);
+      const kept = this.removals[0];
+      this.removalsSince = Math.max(
+        this.removalsSince,
+        dropped.revision,
+        kept.revision,
+      );
+    }
+  }
+
+  private hashOf({id, state}: CatalogServer): number {
+    return this.hasher.hashText(`${id}/${state}`, DIGEST_SEED);
+  }
+}
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -68,8 +68,7 @@
     const {channel, catalog, clock} = this.options;
     await channel.serve({
       onBeat: (sender, beat) => this.onBeat(sender, beat),
-      onPull: (routeVersion, serverDigest) =>
-        updateFor(catalog, routeVersion, serverDigest, clock.now()),
+      onPull: held => updateFor(catalog, held, clock.now()),
     });
     this.tick();
     return () => {
@@ -168,7 +167,8 @@
     this.options.onWork(sender, beat.work);
     const gain = this.confirm(beat, now);
     if (this.isNewer(beat)) {
-      void this.pull(sender);
+      const {serverRevision} = this.options.catalog.stamp;
+      void this.pull(sender, beat.serverRevision === serverRevision);
     } else if (gain > RELAY_GAIN_MS) {
       this.relay();
     }
@@ -218,14 +218,18 @@
   private isNewer(beat: Beat): boolean {
     const {stamp} = this.options.catalog;
     const newerRoutes = beat.routeVersion > stamp.routeVersion;
+    // Equal revisions with other servers: something was missed by one of the
+    // two; the digests decide, alike at both, who takes the other's whole list.
     const newerServers =
-      beat.serverDigest !== stamp.serverDigest &&
-      beat.serverRevision > stamp.serverRevision;
+      beat.serverRevision === stamp.serverRevision
+        ? beat.serverDigest > stamp.serverDigest
+        : beat.serverDigest !== stamp.serverDigest &&
+          beat.serverRevision > stamp.serverRevision;
     const firstPull = !this.hasPulled && beat.routeVersion > 0;
     return newerRoutes || newerServers || firstPull;
   }
 
-  private async pull(sender: number): Promise<void> {
+  private async pull(sender: number, isWhole: boolean): Promise<void> {
     const {catalog, channel, clock, log} = this.options;
     if (this.pulls.has(sender) || this.pulls.size >= MAXIMUM_PULLS) {
       return;
@@ -234,8 +238,11 @@
     const {stamp} = catalog;
     const update = await channel.pull(
       sender,
-      this.hasPulled ? stamp.routeVersion : 0,
-      stamp.serverDigest,
+      {
+        routeVersion: this.hasPulled ? stamp.routeVersion : 0,
+        serverRevision: isWhole ? 0 : stamp.serverRevision,
+        serverDigest: stamp.serverDigest,
+      },
       clock.now() + PULL_LIMIT_MS,
     );
     this.pulls.delete(sender);
--- a/src/ports/fleet-channel.ts
+++ b/src/ports/fleet-channel.ts
@@ -3,12 +3,20 @@
 import type {Beat, CatalogUpdate} from '../generated/catalog.js';
 import type {PeerUnavailable} from './peers.js';
 
+/** What a daemon that pulls holds already. */
+export interface HeldVersions {
+  readonly routeVersion: number;
+  /** Revision as of which its servers are complete; 0 asks for all. */
+  readonly serverRevision: number;
+  readonly serverDigest: number;
+}
+
 /** What a daemon does with what its peers send. */
 export interface FleetHandlers {
   /** Takes a beat of the daemon at `sender` (IPv4 address as a number). */
   onBeat(sender: number, beat: Beat): void;
-  /** Answers a daemon that holds these versions. */
-  onPull(routeVersion: number, serverDigest: number): CatalogUpdate;
+  /** Answers a daemon that holds what the question says. */
+  onPull(held: HeldVersions): CatalogUpdate;
 }
 
 /** Beats and pulls between daemons, which are named by IPv4 address. */
@@ -17,11 +25,10 @@
   abstract serve(handlers: FleetHandlers): Promise<void>;
   /** Sends a beat, which may be lost. */
   abstract beat(address: number, beat: Beat): void;
-  /** Fetches what a peer holds beyond these versions. */
+  /** Fetches what a peer holds beyond what is held here. */
   abstract pull(
     address: number,
-    routeVersion: number,
-    serverDigest: number,
+    held: HeldVersions,
     deadline: number,
   ): ResultAsync<CatalogUpdate, PeerUnavailable>;
   /** Stops receiving and closes all connections. */
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -22,6 +22,12 @@
  */
 const CURRENT_MS = 4_000;
 
+/**
+ * Servers that are weighed for one opening: with 32, one that is idle is among
+ * them for certain enough, and the cost does not grow with the service.
+ */
+const LARGEST_CHOICE = 32;
+
 /** Share of its slots that a server has while it is slow from its start. */
 const COLD_SHARE = 0.6;
 
@@ -168,9 +174,9 @@
     now: number,
   ): CatalogServer | undefined {
     const {catalog, placement, random} = this.options;
-    const servers = catalog
-      .openServers(this.chooseService(route))
-      .filter(server => catalog.cookieOf(server) !== undefined);
+    const servers = this.sample(
+      catalog.openServers(this.chooseService(route)),
+    ).filter(server => catalog.cookieOf(server) !== undefined);
     const usable = this.usableOf(servers, tried, now);
     if (usable.length === 0) {
       return undefined;
@@ -181,6 +187,16 @@
     return usable[placement.choose(candidates, random.below(usable.length))];
   }
 
+  /** All of a small service; of a large one some neighbours, by chance. */
+  private sample(servers: readonly CatalogServer[]): readonly CatalogServer[] {
+    if (servers.length <= LARGEST_CHOICE) {
+      return servers;
+    }
+    const start = this.options.random.below(servers.length);
+    const end = servers.slice(start, start + LARGEST_CHOICE);
+    return [...end, ...servers.slice(0, LARGEST_CHOICE - end.length)];
+  }
+
   /**
    * Servers not tried yet that answer. When fewer than half of the servers
    * answer, silence counts for nothing: it may be this daemon's network.
--- a/standins/memory-channel.ts
+++ b/standins/memory-channel.ts
@@ -2,7 +2,11 @@
 import {ResultAsync, err, ok, type Result} from 'neverthrow';
 import {Beat, CatalogUpdate} from '../src/generated/catalog.js';
 import type {Clock} from '../src/ports/clock.js';
-import {FleetChannel, type FleetHandlers} from '../src/ports/fleet-channel.js';
+import {
+  FleetChannel,
+  type FleetHandlers,
+  type HeldVersions,
+} from '../src/ports/fleet-channel.js';
 import {PeerUnavailable} from '../src/ports/peers.js';
 import type {Random} from '../src/routing/random.js';
 
@@ -96,8 +100,7 @@
 
   pull(
     address: number,
-    routeVersion: number,
-    serverDigest: number,
+    held: HeldVersions,
     deadline: number,
   ): ResultAsync<CatalogUpdate, PeerUnavailable> {
     const answer = (): Result<CatalogUpdate, PeerUnavailable> => {
@@ -105,7 +108,7 @@
       if (peer === undefined) {
         return err(PeerUnavailable.create(String(address), 'not reached'));
       }
-      const update = peer.onPull(routeVersion, serverDigest);
+      const update = peer.onPull(held);
       const bytes = CatalogUpdate.encode(update).finish();
       this.network.sent.pulls += 1;
       this.network.sent.bytes += bytes.length;
