Both cookie worlds share the router before the daemons

Change: packet-router.ts holds both. Hash, seed and ties are as before, and the draw for a lost packet still comes with every packet. Behaviour is the same.

--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -22,6 +22,7 @@
 import {FakeClock, ProcessClock} from './fake-clock.js';
 import {ChannelNetwork, MemoryChannel} from './memory-channel.js';
 import {MemoryLog, type LoggedLine} from './memory-log.js';
+import {chooseDaemon, noteCheck, type CheckedDaemon} from './packet-router.js';
 import {
   PromiseJudge,
   type BrokenPromise,
@@ -33,8 +34,8 @@
 const WAY_MS = 1;
 /** Time that a fleet has to start before callers come, in milliseconds. */
 const SETTLE_MS = 8_000;
+/** Time between two readiness checks, in milliseconds. */
 const CHECK_MS = 500;
-const MISSES_BEFORE_OUT = 2;
 const FIRST_DAEMON_ADDRESS = 0x0a000001;
 const FIRST_SERVER_ADDRESS = 0x0a800001;
 const FIRST_CALLER_ADDRESS = 0x64400001;
@@ -59,13 +60,11 @@
 }
 
 /** One daemon, running or not. */
-export interface WorldDaemon {
+export interface WorldDaemon extends CheckedDaemon {
   readonly settings: EntrySettings;
   running: EntryDaemon | undefined;
   clock: ProcessClock;
   fabric: WorldFabric;
-  misses: number;
-  isIn: boolean;
 }
 
 /** Callers' ends by kind, and how long answered ones took. */
@@ -292,6 +291,7 @@
     const address = FIRST_DAEMON_ADDRESS + index;
     const seeds = [0, 1, 2].map(offset => FIRST_DAEMON_ADDRESS + offset);
     this.daemons.set(name, {
+      name,
       settings: {
         name,
         address,
@@ -324,25 +324,18 @@
   private checkReadiness(): void {
     this.daemons.forEach(daemon => {
       const ready = daemon.running?.isReady() === true;
-      daemon.misses = ready ? 0 : daemon.misses + 1;
-      daemon.isIn = ready || (daemon.isIn && daemon.misses < MISSES_BEFORE_OUT);
+      noteCheck(daemon, ready);
     });
     this.clock.callAt(this.clock.now() + CHECK_MS, () => this.checkReadiness());
   }
 
-  /** The router chooses among those that are in, by a hash of the flow. */
   private sendToFabric(packet: CookiePacket): void {
-    const names = [...this.daemons]
-      .filter(([, {isIn}]) => isIn)
-      .map(([name]) => name);
-    const flow = flowName(packet);
-    const chosen = names
-      .map(name => ({name, score: this.hasher.hashText(`${name}/${flow}`, 5)}))
-      .reduce((best, next) => (next.score > best.score ? next : best), {
-        name: '',
-        score: -1,
-      });
-    this.after(() => this.daemons.get(chosen.name)?.fabric.deliver(packet));
+    const chosen = chooseDaemon(
+      [...this.daemons.values()],
+      flowName(packet),
+      this.hasher,
+    );
+    this.after(() => chosen?.fabric.deliver(packet));
   }
 
   private sendToCaller(packet: ServerPacket): void {
