--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -2,10 +2,10 @@
  * The daemon for a fabric with cookies: takes packets, places new flows, sends
  * all others where their cookies say, and shares a catalog with its peers.
  */
-import {CatalogReader} from '../catalog/reader.js';
+import {Catalog, type CatalogChange} from '../catalog/catalog.js';
 import {rankAmong} from '../catalog/reader-rank.js';
+import {CatalogReader} from '../catalog/reader.js';
 import {CatalogSpread} from '../catalog/spread.js';
-import {Catalog, type CatalogChange} from '../catalog/catalog.js';
 import type {PeerAge} from '../generated/catalog.js';
 import {PeerAges} from '../membership/peer-ages.js';
 import type {CatalogSource} from '../ports/catalog-source.js';
@@ -60,34 +60,15 @@
   private lastPacketAt = -Infinity;
 
   private constructor(private readonly options: EntryDaemonOptions) {
-    const {settings, clock, hasher, random, log} = options;
+    const {settings, hasher, random} = options;
     const {flowLifetimeMs, address, seeds} = settings;
     this.seeds = seeds;
     this.catalog = Catalog.create({hasher, flowLifetimeMs});
     this.peers = PeerAges.create(address, random);
     this.work = ServerWorkLedger.create(hasher);
-    this.router = CookieRouter.create({
-      catalog: this.catalog,
-      work: this.work,
-      placement: options.placement ?? LightestPlacement.create(),
-      clock,
-      random,
-      counters: options.counters,
-      onSilent: ({id}) => this.noteSilent(id),
-    });
+    this.router = this.createRouter();
     this.spread = this.createSpread();
-    this.reader = CatalogReader.create({
-      catalog: this.catalog,
-      source: options.source,
-      clock,
-      log,
-      random,
-      isFirstStart: settings.isFirstStart,
-      rank: () => this.rank(),
-      peerCount: () => this.peers.live(clock.now()).length,
-      isPulling: () => this.spread.isPulling,
-      onRead: () => this.spread.announce(),
-    });
+    this.reader = this.createReader();
   }
 
   /** Creates a daemon that does nothing until it is run. */
@@ -191,6 +172,19 @@
     runOnce();
   }
 
+  private createRouter(): CookieRouter {
+    const {placement, clock, random, counters} = this.options;
+    return CookieRouter.create({
+      catalog: this.catalog,
+      work: this.work,
+      placement: placement ?? LightestPlacement.create(),
+      clock,
+      random,
+      counters,
+      onSilent: ({id}) => this.noteSilent(id),
+    });
+  }
+
   private createSpread(): CatalogSpread {
     const {channel, clock, log, random} = this.options;
     return CatalogSpread.create({
@@ -207,6 +201,23 @@
     });
   }
 
+  private createReader(): CatalogReader {
+    const {source, clock, log, random, settings} = this.options;
+    return CatalogReader.create({
+      catalog: this.catalog,
+      source,
+      clock,
+      log,
+      random,
+      isFirstStart: settings.isFirstStart,
+      rank: () => this.rank(),
+      peerCount: () => this.peers.live(clock.now()).length,
+      isPulling: () => this.spread.isPulling,
+      onRead: () => this.spread.announce(),
+    });
+  }
+
+  /** This daemon as its peers are to know it. */
   private self(): PeerAge {
     const {address, failureDomain, capacity} = this.options.settings;
     return {
@@ -219,13 +230,14 @@
     };
   }
 
+  /** This daemon's place among those that may read the source. */
   private rank(): number {
     const {clock, hasher} = this.options;
     return rankAmong(this.self(), this.peers.live(clock.now()), hasher);
   }
 
   private handle(packet: CookiePacket): void {
-    const {fabric, counters, clock} = this.options;
+    const {fabric, counters, clock, log} = this.options;
     this.lastPacketAt = clock.now();
     const decision = this.router.decide(packet);
     if (decision.verdict !== Verdict.FORWARD) {
@@ -237,11 +249,11 @@
     fabric.forward(packet, server, cookie);
     this.noteFirst();
     if (packet.opens) {
-      this.options.log.info('flow-placed', {
+      log.info('flow-placed', {
         ...flowOf(packet),
         server: server.id,
         copy: packet.openCopy,
-        unfinished: this.work.unfinished(server.id, this.options.clock.now()),
+        unfinished: this.work.unfinished(server.id, clock.now()),
         ...this.versions(),
       });
     }
@@ -266,6 +278,7 @@
     });
   }
 
+  /** Logs how long the daemon took from its start to its first packet. */
   private noteFirst(): void {
     if (!this.hasForwarded) {
       this.hasForwarded = true;
@@ -315,7 +328,7 @@
   return {source, destination};
 }
 
-/** What the process has used up to now. */
+/** What the process has used up to now: processor time and time. */
 function sinceStart(clock: Clock): LogFields {
   const {user, system} = process.cpuUsage();
   return {
