Spread: beats to all receivers sent in one place, without a flag

Cause: sendTo took a flag that its one caller always gave as false. Change: announce sends the beats itself; methods say what they are for. Behaviour is the same.

--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -45,6 +45,7 @@
    * anything; only servers that are silent are told.
    */
   workToTell(onlySilent: boolean): ServerWork[];
+  /** Takes the work that a peer told. */
   onWork(sender: number, work: readonly ServerWork[]): void;
 }
 
@@ -52,6 +53,7 @@
 export class CatalogSpread {
   private timer: Timer | undefined;
   private round = 0;
+  /** Addresses of the peers that are being asked. */
   private readonly pulls = new Set<number>();
   /** The first answer is asked for whole: it tells of former versions too. */
   private hasPulled = false;
@@ -85,7 +87,11 @@
 
   /** Sends a beat now, because there is news. */
   announce(): void {
-    this.sendTo(this.receivers(), false);
+    const receivers = this.receivers();
+    if (receivers.length > 0) {
+      const beat = this.beat(false);
+      receivers.forEach(({address}) => this.send(address, beat));
+    }
   }
 
   private tick(): void {
@@ -116,6 +122,7 @@
     greeted.forEach(address => this.send(address, beat));
   }
 
+  /** Peers that the next beat goes to. */
   private receivers(): PeerDaemon[] {
     const {peers, clock} = this.options;
     const live = peers.live(clock.now());
@@ -128,19 +135,14 @@
     return [...peers.sample(near, NEAR_FAN_OUT), ...peers.sample(live, 1)];
   }
 
-  private sendTo(receivers: readonly PeerDaemon[], hello: boolean): void {
-    if (receivers.length > 0) {
-      const beat = this.beat(hello);
-      receivers.forEach(({address}) => this.send(address, beat));
-    }
-  }
-
+  /** Sends a beat to any daemon but this one, which may be among the seeds. */
   private send(address: number, beat: Beat): void {
     if (address !== this.options.self().address) {
       this.options.channel.beat(address, beat);
     }
   }
 
+  /** What this daemon tells now; a beat with `hello` is answered at once. */
   private beat(hello: boolean): Beat {
     const {catalog, peers, clock} = this.options;
     const now = clock.now();
