--- a/src/index.ts
+++ b/src/index.ts
@@ -73,6 +73,32 @@
 } from './membership/failure-detector.js';
 export {ChangeLog} from './membership/change-log.js';
 
+// Routes and servers shared by a fleet, and routing by cookies
+export {
+  Catalog,
+  type CatalogOptions,
+  type KnownRoute,
+} from './catalog/catalog.js';
+export {CatalogReader, type ReaderOptions} from './catalog/reader.js';
+export {CatalogSpread, type SpreadOptions} from './catalog/spread.js';
+export type {
+  CatalogEvents,
+  CatalogRoute,
+  CatalogServer,
+  RouteListing,
+  ServerListing,
+} from './catalog/records.js';
+export {CatalogSource, SourceFailure} from './ports/catalog-source.js';
+export {CookieFabric, type CookiePacket} from './ports/cookie-fabric.js';
+export {FleetChannel, type FleetHandlers} from './ports/fleet-channel.js';
+export {PeerAges, type PeerDaemon} from './membership/peer-ages.js';
+export {
+  CookieRouter,
+  type CookieDecision,
+  type CookieRouterOptions,
+} from './routing/cookie-router.js';
+export {ServerWorkLedger} from './routing/server-work.js';
+
 // Recovery
 export {
   FlowCoordinator,
