--- a/src/cli/flow-story.ts
+++ b/src/cli/flow-story.ts
@@ -44,18 +44,15 @@
     return {events: [], findings: [`no daemon logged a flow of ${source}`]};
   }
   const near = eventsNear(events, own);
-  const servers = new Set<unknown>(
-    own.flatMap(event => detailsOf(event)['server'] ?? []),
-  );
+  const servers = serversOf(own);
   const daemons = new Set(own.map(({process}) => process));
-  const told = near.filter(
-    event =>
-      own.includes(event) ||
-      isAboutServer(event, servers) ||
-      (daemons.has(event.process) && SURROUNDINGS.has(event.kind)),
-  );
   return {
-    events: told,
+    events: near.filter(
+      event =>
+        own.includes(event) ||
+        isAboutServer(event, servers) ||
+        (daemons.has(event.process) && SURROUNDINGS.has(event.kind)),
+    ),
     findings: [
       ...own.flatMap(explainDecision),
       ...explainCopies(own),
@@ -64,6 +61,11 @@
   };
 }
 
+/** The servers that the flow's own lines name. */
+function serversOf(own: readonly TimelineEvent[]): ReadonlySet<unknown> {
+  return new Set(own.flatMap(event => detailsOf(event)['server'] ?? []));
+}
+
 /** Events shortly before, during and shortly after the flow's own lines. */
 function eventsNear(
   events: readonly TimelineEvent[],
