Router: tables of what is staged and active in a module of their own

Change: RevisionTables keeps them and rebuilds them; the router asks it for the table of a destination and hands its own stage, activate and rebuild on. Behaviour is the same.

--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -4,7 +4,7 @@
 import type {Clock} from '../ports/clock.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import type {Hasher} from '../ports/hasher.js';
-import {AddressTable} from './address-table.js';
+import type {AddressTable} from './address-table.js';
 import {candidatesOf} from './candidates.js';
 import {
   DecisionKind,
@@ -13,25 +13,17 @@
   type Decision,
   type Forward,
 } from './decision.js';
-import {
-  FlowKeys,
-  destinationKey,
-  partitionOf,
-  type FlowKey,
-} from './flow-key.js';
+import {FlowKeys, partitionOf, type FlowKey} from './flow-key.js';
 import {EntryKind, FlowTable} from './flow-table.js';
 import {NO_SERVER, TableBuilder, serverIn} from './generation-table.js';
 import {LoadLedger} from './load-ledger.js';
 import {Ownership} from './ownership.js';
 import {LightestPlacement, type Placement} from './placement.js';
 import {Predecessors} from './predecessors.js';
-import {
-  upToRevision,
-  type RoutedAddress,
-  type RoutingRevision,
-} from './routed-address.js';
+import {RevisionTables} from './revision-tables.js';
+import type {RoutingRevision} from './routed-address.js';
 import {ServerDirectory} from './server-directory.js';
-import {ServerMarks} from './server-marks.js';
+import type {ServerMarks} from './server-marks.js';
 
 /** Daemons that may handle one packet, the one from the fabric included. */
 export const MAXIMUM_HOPS = 6;
@@ -98,17 +90,10 @@
   readonly ledger: LoadLedger;
   readonly directory = ServerDirectory.create();
   private readonly keys: FlowKeys;
-  private readonly builder: TableBuilder;
+  private readonly tables: RevisionTables;
   private readonly placement: Placement;
   /** Earlier holders of partitions that this daemon took over. */
   readonly predecessors: Predecessors;
-  private tables = new Map<number, AddressTable>();
-  /** Tables of what is active, which flows are opened by. */
-  private activeTables = new Map<number, AddressTable>();
-  private stagedMarks = ServerMarks.create();
-  private activeMarks = ServerMarks.create();
-  private revision: RoutingRevision = {revision: 0, addresses: []};
-  private activeRevision = 0;
   private updates: EntryUpdate[] = [];
   private view: RouterView;
 
@@ -117,7 +102,8 @@
     this.ledger = LoadLedger.create(options.run, options.hasher);
     this.predecessors = Predecessors.create(options.clock);
     this.keys = FlowKeys.create(options.hasher);
-    this.builder = TableBuilder.create(options.hasher, this.directory);
+    const builder = TableBuilder.create(options.hasher, this.directory);
+    this.tables = RevisionTables.create(builder, options.clock);
     this.placement = options.placement ?? LightestPlacement.create();
     const alone = [{id: options.self, failureDomain: ''}];
     this.view = {
@@ -136,17 +122,17 @@
 
   /** Bytes of lookup tables. */
   get tableBytes(): number {
-    return this.builder.bytes;
+    return this.tables.bytes;
   }
 
   /** Revision by which flows are opened. */
   get active(): number {
-    return this.activeRevision;
+    return this.tables.active;
   }
 
   /** Newest revision known. */
   get staged(): number {
-    return this.revision.revision;
+    return this.tables.staged;
   }
 
   /**
@@ -154,27 +140,17 @@
    * are still opened by what is active.
    */
   stage(revision: RoutingRevision, marks: ServerMarks): void {
-    this.revision = revision;
-    this.stagedMarks = marks.copy();
-    this.rebuild();
+    this.tables.stage(revision, marks);
   }
 
   /** Opens flows by a revision and marks that every peer has staged. */
   activate(revision: number, marks: ServerMarks): void {
-    this.activeRevision = revision;
-    this.activeMarks = marks.copy();
-    this.rebuild();
+    this.tables.activate(revision, marks);
   }
 
   /** Rebuilds the tables, so that generations past their lifetime go. */
   rebuild(): void {
-    this.tables = this.buildTables(this.revision.addresses, this.stagedMarks);
-    const active = this.revision.addresses.map(routed =>
-      upToRevision(routed, this.activeRevision),
-    );
-    this.activeTables = this.buildTables(active, this.activeMarks);
-    const inUse = [...this.tables.values(), ...this.activeTables.values()];
-    this.builder.retain(inUse.flatMap(table => table.generations));
+    this.tables.rebuild();
   }
 
   /** Takes a new view of the members. */
@@ -184,8 +160,9 @@
 
   /** Decides what is done with a packet. */
   route(packet: PacketHeader, arrival: Arrival): Decision {
-    const table = this.tables.get(
-      destinationKey(packet.destinationAddress, packet.destinationPort),
+    const table = this.tables.stagedTable(
+      packet.destinationAddress,
+      packet.destinationPort,
     );
     if (table === undefined) {
       return {kind: DecisionKind.DROP, reason: DropReason.UNKNOWN_ADDRESS};
@@ -279,19 +256,6 @@
     );
   }
 
-  private buildTables(
-    addresses: readonly RoutedAddress[],
-    marks: ServerMarks,
-  ): Map<number, AddressTable> {
-    const wall = this.options.clock.wall();
-    return new Map(
-      addresses.map(routed => [
-        destinationKey(routed.address, routed.port),
-        AddressTable.create(routed, this.builder, marks, wall),
-      ]),
-    );
-  }
-
   private isTracked(table: AddressTable, key: FlowKey): boolean {
     return this.options.scope === StateScope.ALL || table.isTracked(key);
   }
@@ -459,7 +423,7 @@
   /** Places a new flow of a tracked key. */
   private open(table: AddressTable, key: FlowKey, arrival: Arrival): Decision {
     const {address, port} = table.routed;
-    const active = this.activeTables.get(destinationKey(address, port));
+    const active = this.tables.activeTable(address, port);
     if (active === undefined || active.generations.length === 0) {
       return {kind: DecisionKind.DROP, reason: DropReason.ADDRESS_NOT_IN_FORCE};
     }
@@ -526,7 +490,7 @@
     const usable =
       base !== NO_SERVER &&
       table.isUnchanged(key) &&
-      this.activeMarks.isEligible(this.directory.idOf(base));
+      this.tables.isEligible(this.directory.idOf(base));
     return usable
       ? this.forwardOpen(key, base, arrival)
       : {kind: DecisionKind.DROP, reason: DropReason.FLOW_TABLE_FULL};
