Refusals aloud end before an unknown version can be in force

Cause: an unknown destination was reset up to a copy's age of 4 s, though a version is in force 3 s after the store took it on the deployments of today; a daemon with a copy of 3.5 s could have refused a route that was there. The limit now comes from the settings, less 0.2 s. Counts of peers' work are told only if the placement asks for them: ours does not since it goes by own counts. Ruled out: refusing at the age of one wait (1.5 s): copies are up to 2 s old in the calm, and callers of a route that was removed would wait in vain.

--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -42,9 +42,9 @@
   self(): PeerAge;
   /**
    * Work to tell. In a large fleet too few daemons hear of it for counts to mean
-   * anything; only servers that are silent are told.
+   * anything; only servers that are silent are to be told.
    */
-  workToTell(onlySilent: boolean): ServerWork[];
+  workToTell(isLarge: boolean): ServerWork[];
   /** Takes the work that a peer told. */
   onWork(sender: number, work: readonly ServerWork[]): void;
 }
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -48,6 +48,7 @@
   readonly catalog: Catalog;
   private readonly peers: PeerAges;
   private readonly work: ServerWorkLedger;
+  private readonly placement: Placement;
   private readonly router: CookieRouter;
   private readonly spread: CatalogSpread;
   private readonly reader: CatalogReader;
@@ -66,6 +67,7 @@
     this.catalog = Catalog.create({hasher, flowLifetimeMs});
     this.peers = PeerAges.create(address, random);
     this.work = ServerWorkLedger.create(hasher);
+    this.placement = options.placement ?? OwnWorkPlacement.create();
     this.router = this.createRouter();
     this.spread = this.createSpread();
     this.reader = this.createReader();
@@ -173,14 +175,15 @@
   }
 
   private createRouter(): CookieRouter {
-    const {placement, clock, random, counters} = this.options;
+    const {clock, random, counters, settings} = this.options;
     return CookieRouter.create({
       catalog: this.catalog,
       work: this.work,
-      placement: placement ?? OwnWorkPlacement.create(),
+      placement: this.placement,
       clock,
       random,
       counters,
+      inForceLimitMs: settings.inForceLimitMs,
       onSilent: ({id}) => this.noteSilent(id),
     });
   }
@@ -196,7 +199,8 @@
       random,
       seeds: () => this.seeds,
       self: () => this.self(),
-      workToTell: onlySilent => this.work.toTell(clock.now(), onlySilent),
+      workToTell: isLarge =>
+        this.work.toTell(clock.now(), isLarge || !this.placement.usesPeerWork),
       onWork: (sender, work) => this.work.receive(sender, work, clock.now()),
     });
   }
@@ -253,7 +257,7 @@
         ...flowOf(packet),
         server: server.id,
         copy: packet.openCopy,
-        unfinished: this.work.unfinished(server.id, clock.now()),
+        unfinished: this.work.ownUnfinished(server.id),
         ...this.versions(),
       });
     }
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -24,6 +24,6 @@
   readonly stopLimitMs: number;
   /** Longest life of a flow, in milliseconds. */
   readonly flowLifetimeMs: number;
-  /** Whether packets carry cookies; weldyard's other fabric has a daemon of its own. */
-  readonly isCookieFabric: boolean;
+  /** Time in which a version has to be in force everywhere, in milliseconds. */
+  readonly inForceLimitMs: number;
 }
--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -52,6 +52,7 @@
     placement: LightestPlacement.create(),
     clock,
     random: Random.create(3),
+    inForceLimitMs: 3_000,
     counters: MemoryCounters.create(),
     onSilent: ({id}) => silent.push(id),
   });
@@ -112,6 +113,15 @@
   assert.equal(serverIn(followed), serverIn(opened));
 });
 
+test('an unknown destination is refused aloud only while no route can be in force that is not known', async () => {
+  const {router, clock} = createRouter([serverOf('i-1')]);
+  const unknown = packetOf({opens: true, destinationPort: 444});
+  await clock.advance(2_700);
+  assert.equal(router.decide(unknown).verdict, 'reset');
+  await clock.advance(250);
+  assert.equal(router.decide(unknown).verdict, 'drop');
+});
+
 test('cookies of nobody and of another service are dropped, never answered', () => {
   const {router, catalog} = createRouter([
     serverOf('i-1'),
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -16,11 +16,10 @@
 import {UnknownCookies} from './unknown-cookies.js';
 
 /**
- * Age of the catalog up to which a daemon refuses what the catalog does not
- * hold, in milliseconds; with an older one it stays silent, since a route may
- * have been added.
+ * Time by which a refusal lies within the limit for a version to be in force, in
+ * milliseconds: a round trip to the store and one to the caller.
  */
-const CURRENT_MS = 4_000;
+const REFUSAL_MARGIN_MS = 200;
 
 /**
  * Servers that are weighed for one opening: with 32, one that is idle is among
@@ -78,6 +77,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly counters: Counters;
+  /** Time in which a version has to be in force everywhere, in milliseconds. */
+  readonly inForceLimitMs: number;
   /** Told of a server that left a packet unanswered and is avoided from now on. */
   onSilent(server: CatalogServer): void;
 }
@@ -225,14 +226,13 @@
     index: number,
     now: number,
   ): Candidate {
-    const {work} = this.options;
+    const {work, placement} = this.options;
     const warm = server.coldUntil <= now ? 1 : COLD_SHARE;
-    return {
-      server: index,
-      weight: server.slots * warm,
-      flows: work.unfinished(server.id, now),
-      ownFlows: work.ownUnfinished(server.id),
-    };
+    const ownFlows = work.ownUnfinished(server.id);
+    const flows = placement.usesPeerWork
+      ? work.unfinished(server.id, now)
+      : ownFlows;
+    return {server: index, weight: server.slots * warm, flows, ownFlows};
   }
 
   /** One of the route's services, by their weights. */
@@ -258,9 +258,13 @@
       : {verdict: Verdict.DROP, reason};
   }
 
+  /**
+   * Whether no version can be in force yet that is not known: an older copy may
+   * lack a route, so the daemon stays silent about what it does not hold.
+   */
   private isCurrent(): boolean {
-    const {catalog, clock} = this.options;
-    const oldest = clock.now() - CURRENT_MS;
+    const {catalog, clock, inForceLimitMs} = this.options;
+    const oldest = clock.now() - (inForceLimitMs - REFUSAL_MARGIN_MS);
     const {routesConfirmedAt, serversConfirmedAt} = catalog.stamp;
     return routesConfirmedAt >= oldest && serversConfirmedAt >= oldest;
   }
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -18,6 +18,9 @@
 
 /** A way to choose among servers. */
 export abstract class Placement {
+  /** Whether `flows` of candidates has to count the work that peers told of. */
+  readonly usesPeerWork: boolean = true;
+
   /**
    * Chooses a server. `preferred` is the table's choice, which costs no state
    * and no message; it may be missing from the candidates. There is at least
@@ -55,6 +58,8 @@
  * (experiment "placing": p99 112 ms by own counts, 384 ms by all, in a burst).
  */
 export class OwnWorkPlacement extends Placement {
+  override readonly usesPeerWork = false;
+
   private constructor() {
     super();
   }
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -305,7 +305,7 @@
         capacity: 500,
         stopLimitMs: 6_000,
         flowLifetimeMs: 60_000,
-        isCookieFabric: true,
+        inForceLimitMs: this.plan.bounds.configurationMs,
       },
       running: undefined,
       clock: ProcessClock.create(this.clock),
