Settings of the daemon with cookies are INI, in weldyard's own words

Cause: the platform folder read 14 keys of the platform's JSON by hand, and weldyard check could not read such a file at all. Change: deploy/entry.ini is a template that the platform fills in; the daemon reads INI by the library, and check finds all faults at once, in the same words. The platform's folder keeps the variable's name and the one form of fabric that is served; names of the settings left the code. Durations are read by one function. Ruled out: the schema library in the daemon, a fifth of a start.

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -3,11 +3,16 @@
 import {Result} from 'neverthrow';
 import {adviceFor, type EditFailure} from '../configuration/editor.js';
 import type {ConfigurationDocument} from '../configuration/document.js';
-import {formatFault, type Fault} from '../configuration/faults.js';
+import {
+  formatFault,
+  type ConfigurationFaults,
+  type Fault,
+} from '../configuration/faults.js';
 import {readIniFile} from '../configuration/ini-file.js';
 import {processSettingsSchema} from '../configuration/process-settings.js';
 import {nextDocument, type Edit} from '../configuration/revision.js';
 import {sourceNameOf} from '../configuration/services.js';
+import {ENTRY_HEADING, readEntrySettings} from '../entry/settings-file.js';
 import {
   ExitCode,
   print,
@@ -50,17 +55,26 @@
 
 function checkFile(file: string): readonly Fault[] {
   return readText(file)
-    .andThen(text =>
-      /^\s*\[(daemon|listen|platform)\]/m.test(text)
-        ? readIniFile({file, text}, processSettingsSchema).map(() => file)
-        : sourceNameOf(file, text),
-    )
+    .andThen(text => checkText(file, text))
     .match(
       () => [],
       failure => failure.faults,
     );
 }
 
+/** Tells the kinds of files apart by their sections. */
+function checkText(
+  file: string,
+  text: string,
+): Result<string, ConfigurationFaults> {
+  if (ENTRY_HEADING.test(text)) {
+    return readEntrySettings(file, text).map(() => file);
+  }
+  return /^\s*\[(daemon|listen|platform)\]/m.test(text)
+    ? readIniFile({file, text}, processSettingsSchema).map(() => file)
+    : sourceNameOf(file, text);
+}
+
 /** `apply FILE...`: makes one edit of all the files. */
 export async function apply(
   platform: Platform,
--- a/src/configuration/faults.ts
+++ b/src/configuration/faults.ts
@@ -29,5 +29,6 @@
 export function formatFault(fault: Fault): string {
   const section = fault.section === '' ? '' : ` [${fault.section}]`;
   const key = fault.key === '' ? '' : ` ${fault.key}`;
-  return `${fault.file}:${section}${key}: ${fault.wrong}; ${fault.right}`;
+  const place = section + key === '' ? '' : `${section}${key}:`;
+  return `${fault.file}:${place} ${fault.wrong}; ${fault.right}`;
 }
--- a/src/configuration/values.ts
+++ b/src/configuration/values.ts
@@ -1,15 +1,8 @@
 /** Schemas of single values in INI files; all are written as text. */
 import {z} from 'zod';
 import {parseSocketAddress} from '../routing/ipv4.js';
+import {parseDuration} from './duration.js';
 
-const UNIT_MS: Readonly<Record<string, number>> = {
-  ms: 1,
-  s: 1_000,
-  m: 60_000,
-  h: 3_600_000,
-};
-
-const DURATION = /^(?<amount>\d+(\.\d+)?)(?<unit>ms|s|m|h)$/;
 const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
 
 const SERVER_MESSAGE =
@@ -44,11 +37,8 @@
   return z
     .string({error: 'write a duration such as 250ms, 10s, 5m or 2h'})
     .transform((text, context) => {
-      const groups = DURATION.exec(text)?.groups;
-      const value =
-        Number(groups?.['amount'] ?? 0) *
-        (UNIT_MS[groups?.['unit'] ?? ''] ?? 0);
-      if (value <= 0) {
+      const value = parseDuration(text);
+      if (value === undefined) {
         context.addIssue({
           code: 'custom',
           input: text,
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -8,6 +8,8 @@
   readonly failureDomain: string;
   /** "ip:port" at which the fabric hands packets over. */
   readonly fabricListen: string;
+  /** The platform's word for how packets name their servers; its adapter knows it. */
+  readonly fabricForm: string;
   /** "ip:port" of readiness checks and of counters. */
   readonly readinessListen: string;
   /** Port of beats (UDP) and pulls (TCP), the same at all daemons. */
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -297,6 +297,7 @@
         address,
         failureDomain: this.domainOf(index),
         fabricListen: '',
+        fabricForm: '',
         readinessListen: '',
         peerPort: 0,
         isFirstStart: true,
