The first list of servers is told in one line

Change: one line with their number and the versions; later changes one by one. Ruled out: no line at all; the copy's version is what decisions go by. Test: entry-daemon.spec.ts, red before.

--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -26,6 +26,8 @@
 export interface CatalogChange {
   /** The version taken; undefined when the routes did not change. */
   readonly routeVersion?: number;
+  /** Whether these are the first servers that were ever taken. */
+  readonly isFirstListing: boolean;
   /** Servers that are new or whose state changed. */
   readonly changed: readonly CatalogServer[];
   /** Servers that left the list. */
@@ -168,7 +170,12 @@
     this.routeVersion = listing.version;
     this.routes.clear();
     listing.routes.forEach(route => this.putRoute(route));
-    this.tell({routeVersion: listing.version, changed: [], departed: []});
+    this.tell({
+      routeVersion: listing.version,
+      isFirstListing: false,
+      changed: [],
+      departed: [],
+    });
   }
 
   /** Notes that the routes held were still the newest at a time. */
@@ -256,6 +263,7 @@
     revision: number,
     confirmedAt: number,
   ): void {
+    const isFirstListing = this.serverRevision === 0;
     this.serverRevision = revision;
     const changed = written.filter(server => this.servers.isNews(server));
     this.noteServersConfirmed(confirmedAt);
@@ -264,7 +272,7 @@
       this.depart(id, at, confirmedAt),
     );
     if (changed.length > 0 || departed.length > 0) {
-      this.tell({changed, departed});
+      this.tell({isFirstListing, changed, departed});
     }
   }
 
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -60,6 +60,25 @@
   assert.ok(world.store.calls - callsBefore <= 25, String(world.store.calls));
 });
 
+test('the servers of a first copy are told in one line, later changes one by one', async () => {
+  const world = await createWorld();
+  const linesOf = (kind: string) =>
+    world.lines.filter(
+      ({process, event}) => process === 'd0' && event === kind,
+    );
+  assert.deepEqual(
+    linesOf('servers-taken').map(({fields}) => fields['servers']),
+    [9],
+  );
+  assert.equal(linesOf('server-state').length, 0);
+  world.drainServer(world.liveServers('pay')[0], 5_000);
+  await world.clock.advance(1_000);
+  assert.deepEqual(
+    linesOf('server-state').map(({fields}) => fields['state']),
+    ['draining'],
+  );
+});
+
 test('a flow stays at its server when the daemons that forwarded it are gone', async () => {
   const world = await createWorld();
   const callers = Array.from({length: 11}, () =>
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -302,9 +302,15 @@
     if (change.routeVersion !== undefined) {
       log.warn('routes-taken', this.versions());
     }
-    change.changed.forEach(({id, service, state}) =>
-      log.info('server-state', {server: id, service, state}),
-    );
+    if (change.isFirstListing) {
+      // One line in place of one a server: all daemons may start at once.
+      const servers = change.changed.length;
+      log.info('servers-taken', {servers, ...this.versions()});
+    } else {
+      change.changed.forEach(({id, service, state}) =>
+        log.info('server-state', {server: id, service, state}),
+      );
+    }
     change.departed.forEach(({id, service}) =>
       log.info('server-departed', {server: id, service}),
     );
