--- a/bench/programs/sink.ts
+++ b/bench/programs/sink.ts
@@ -4,7 +4,9 @@
 
 const [knobs, addresses] = process.argv.slice(2);
 let packets = 0;
-const sockets = await Promise.all(addresses.split(',').map(bindUdp));
+const sockets = await Promise.all(
+  addresses.split(',').map(address => bindUdp(address)),
+);
 sockets.forEach(socket =>
   socket.on('message', () => {
     packets += 1;
--- a/src/adapters/datagram-fleet.spec.ts
+++ b/src/adapters/datagram-fleet.spec.ts
@@ -6,6 +6,7 @@
 import {Metric} from '../ports/counters.js';
 import {DatagramFleet} from './datagram-fleet.js';
 import {MemoryCounters} from './memory-counters.js';
+import {MemoryLog} from '../../standins/memory-log.js';
 import {SystemClock} from './system-clock.js';
 
 const clock = SystemClock.create();
@@ -26,7 +27,14 @@
 
 function createFleet(address: number) {
   const counters = MemoryCounters.create();
-  const fleet = DatagramFleet.create({address, port: PORT, clock, counters});
+  const log = MemoryLog.create('test');
+  const fleet = DatagramFleet.create({
+    address,
+    port: PORT,
+    clock,
+    counters,
+    log,
+  });
   return {fleet, counters};
 }
 
--- a/src/adapters/datagram-fleet.ts
+++ b/src/adapters/datagram-fleet.ts
@@ -10,6 +10,7 @@
   type FleetHandlers,
   type HeldVersions,
 } from '../ports/fleet-channel.js';
+import type {Log} from '../ports/log.js';
 import {PeerUnavailable} from '../ports/peers.js';
 import {formatIpv4, parseIpv4} from '../routing/ipv4.js';
 import {bindUdp} from './udp-socket.js';
@@ -26,6 +27,7 @@
   readonly port: number;
   readonly clock: Clock;
   readonly counters: Counters;
+  readonly log: Log;
 }
 
 /** The channel of one daemon. */
@@ -46,7 +48,8 @@
   async serve(handlers: FleetHandlers): Promise<void> {
     const {address, port} = this.options;
     this.handlers = handlers;
-    this.socket = await bindUdp(`${formatIpv4(address)}:${port}`);
+    const endpoint = `${formatIpv4(address)}:${port}`;
+    this.socket = await bindUdp(endpoint, error => this.noteUnsent(error));
     this.socket.on('message', (bytes, from) =>
       this.receive(handlers, bytes, from.address),
     );
@@ -93,6 +96,12 @@
     this.server?.closeAllConnections();
   }
 
+  private noteUnsent(error: Error): void {
+    const {counters, log} = this.options;
+    counters.add(Metric.SEND_FAILURES);
+    log.info('beat-not-sent', {cause: error.message});
+  }
+
   private receive(
     handlers: FleetHandlers,
     bytes: Uint8Array,
--- a/src/adapters/udp-socket.ts
+++ b/src/adapters/udp-socket.ts
@@ -3,8 +3,15 @@
 
 const BUFFER_BYTES = 4 * 1_024 * 1_024;
 
-/** Opens a socket bound to "ip:port"; port 0 takes any. */
-export function bindUdp(address: string): Promise<dgram.Socket> {
+/**
+ * Opens a socket bound to "ip:port"; port 0 takes any. `onFailure` is told of
+ * datagrams that could not be sent, a closed port at the other end included; the
+ * datagram is lost, as one in the network may be.
+ */
+export function bindUdp(
+  address: string,
+  onFailure: (error: Error) => void = () => undefined,
+): Promise<dgram.Socket> {
   const [host, port] = address.split(':');
   const socket = dgram.createSocket({
     type: 'udp4',
@@ -17,8 +24,7 @@
     socket.once('error', reject);
     socket.bind(Number(port), host, () => {
       socket.off('error', reject);
-      // A send to a closed port is reported here; the packet is simply lost.
-      socket.on('error', () => undefined);
+      socket.on('error', onFailure);
       resolve(socket);
     });
   });
--- a/src/ports/counters.ts
+++ b/src/ports/counters.ts
@@ -7,6 +7,8 @@
   PACKETS_DECIDED_FOR_PEER: 'packets.decided_for_peer',
   PACKETS_UNKNOWN_ADDRESS: 'packets.unknown_address',
   PACKETS_MALFORMED: 'packets.malformed',
+  /** Datagrams that the system refused to send. */
+  SEND_FAILURES: 'datagrams.send_failures',
   PACKETS_UNROUTABLE: 'packets.unroutable',
   FLOWS_PLACED_EXCEPTION: 'flows.placed_exception',
   FLOWS_TABLE_FULL: 'flows.table_full',
