weldyard status reads log files: state, versions, starts and ends of each daemon

Cause: on log files alone nobody could see which daemons run, on which version, and which ended unplanned; lines behind one that was cut off were passed over.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -15,6 +15,7 @@
   explain,
   logs,
   status,
+  statusFromLogs,
   timeline,
   type TimelineOptions,
 } from './observation-commands.js';
@@ -75,9 +76,12 @@
     withPlatform(options, platform => history(platform, options)),
   );
 program
-  .command('status', 'show the daemons')
-  .action((options: CommonOptions) =>
-    withPlatform(options, platform => status(platform, options)),
+  .command('status [...files]', 'show the daemons, asked or from log files')
+  .example('  $ weldyard status d1.log d2.log')
+  .action((files: string[], options: CommonOptions) =>
+    files.length > 0
+      ? statusFromLogs(files, options)
+      : withPlatform(options, platform => status(platform, options)),
   );
 program
   .command('timeline', 'show events of all daemons')
--- a/src/cli/observation-commands.ts
+++ b/src/cli/observation-commands.ts
@@ -14,6 +14,11 @@
 import {tellFlowStory} from './flow-story.js';
 import type {Platform} from './platform.js';
 import {readProcessLogs, type LogFileFault} from './process-logs.js';
+import {
+  isHealthy,
+  summarizeProcesses,
+  type ProcessState,
+} from './process-states.js';
 import {formatTable} from './text-table.js';
 import {
   drawEvents,
@@ -78,6 +83,48 @@
       ];
 }
 
+/** `status FILE...`: what log files say of each daemon; done if all is well. */
+export function statusFromLogs(
+  files: readonly string[],
+  options: CommonOptions,
+): ExitCode {
+  return readProcessLogs(files).match(events => {
+    const states = summarizeProcesses(events);
+    print(
+      options.json === true
+        ? JSON.stringify({daemons: states})
+        : formatTable([LOG_STATUS_HEADING, ...states.map(logStatusRow)]),
+    );
+    return isHealthy(states) ? ExitCode.DONE : ExitCode.FAILED;
+  }, reportFault);
+}
+
+const LOG_STATUS_HEADING = [
+  'daemon',
+  'state',
+  'routes',
+  'store',
+  'starts',
+  'unplanned ends',
+  'errors',
+  'lines missing',
+  'last line',
+];
+
+function logStatusRow(state: ProcessState): string[] {
+  return [
+    state.process,
+    state.phase,
+    String(state.routeVersion),
+    state.lacksStore ? 'no answer' : 'answers',
+    String(state.starts),
+    String(state.unplannedEnds),
+    String(state.errors),
+    String(state.linesMissing),
+    new Date(state.lastLineMs).toISOString(),
+  ];
+}
+
 /** `timeline`: events of all processes in causal order. */
 export async function timeline(
   platform: Platform,
--- a/src/cli/process-logs.ts
+++ b/src/cli/process-logs.ts
@@ -7,6 +7,12 @@
 import type {TimelineEvent} from '../generated/peer.js';
 
 const STANDARD_INPUT = 0;
+/** What every line of a daemon's log begins with. */
+const LINE_START = '{"timestamp"';
+
+/** A line's fields; what stands in them is not known. */
+type Details = Readonly<Record<string, unknown>>;
+
 /** Fields that every line has; the others are the event's details. */
 const COMMON_FIELDS: ReadonlySet<string> = new Set([
   'timestamp',
@@ -55,21 +61,28 @@
   }
 }
 
-/** The event of a line; nothing for a line that is none, or was cut off. */
+/**
+ * The event of a line; nothing for a line that is none. The last line of a process
+ * that was killed may be cut off, and that of another process follow it at once.
+ */
 function parseLine(line: string): TimelineEvent[] {
-  const start = line.indexOf('{');
-  if (start < 0) {
-    return [];
-  }
+  const starts = [line.indexOf('{'), line.lastIndexOf(LINE_START)];
+  const parsed = starts
+    .filter(start => start >= 0)
+    .map(start => parseObject(line.slice(start)))
+    .find(fields => fields !== undefined);
+  return parsed === undefined ? [] : eventOf(parsed);
+}
+
+function parseObject(text: string): Details | undefined {
   try {
-    return eventOf(JSON.parse(line.slice(start)));
+    return JSON.parse(text) as Details;
   } catch {
-    // The last line of a process that was killed may be cut off.
-    return [];
+    return undefined;
   }
 }
 
-function eventOf(fields: Readonly<Record<string, unknown>>): TimelineEvent[] {
+function eventOf(fields: Details): TimelineEvent[] {
   const physicalMs = Date.parse(String(fields['timestamp']));
   const {process, message} = fields;
   if (
--- /dev/null
+++ b/src/cli/process-states.ts
@@ -0,0 +1,122 @@
+/** What log files say of each daemon: its state, its versions, its starts and ends. */
+import type {TimelineEvent} from '../generated/peer.js';
+
+/** What the last line about its life says of a process. */
+export const ProcessPhase = {
+  STARTING: 'starting',
+  READY: 'ready',
+  NOT_READY: 'not ready',
+  STOPPING: 'stopping',
+  STOPPED: 'stopped',
+} as const;
+/** One of the phases in `ProcessPhase`. */
+export type ProcessPhase = (typeof ProcessPhase)[keyof typeof ProcessPhase];
+
+/** One process as its log lines show it. */
+export interface ProcessState {
+  readonly process: string;
+  readonly phase: ProcessPhase;
+  /** Wall milliseconds of its last line. */
+  readonly lastLineMs: number;
+  readonly starts: number;
+  /** Starts after which the next one came without a planned stop between them. */
+  readonly unplannedEnds: number;
+  /** Newest version of the routes that it names; 0 when it names none. */
+  readonly routeVersion: number;
+  /** Whether its last word on the store is that it does not answer. */
+  readonly lacksStore: boolean;
+  /** Errors, and lines that were left out or lost. */
+  readonly errors: number;
+  readonly linesMissing: number;
+}
+
+const PHASES: Readonly<Record<string, ProcessPhase>> = {
+  started: ProcessPhase.STARTING,
+  ready: ProcessPhase.READY,
+  'not-ready': ProcessPhase.NOT_READY,
+  stopping: ProcessPhase.STOPPING,
+  leaving: ProcessPhase.STOPPING,
+  stopped: ProcessPhase.STOPPED,
+};
+
+const ERRORS: ReadonlySet<string> = new Set([
+  'unexpected-error',
+  'reload-failed',
+]);
+
+/** Events after which the store is known to answer, or not to. */
+const STORE_ANSWERS: Readonly<Record<string, boolean>> = {
+  'source-lost': false,
+  'source-read-failed': false,
+  'source-regained': true,
+  started: true,
+};
+
+/** An event's own fields; what stands in them is not known. */
+type Details = Readonly<Record<string, unknown>>;
+
+/** The state of each process, by name; `events` are in the order of time. */
+export function summarizeProcesses(
+  events: readonly TimelineEvent[],
+): ProcessState[] {
+  const names = [...new Set(events.map(({process}) => process))].sort();
+  return names.map(name =>
+    summarizeProcess(
+      name,
+      events.filter(({process}) => process === name),
+    ),
+  );
+}
+
+/** Whether every process is ready, in touch, and on the newest version of all. */
+export function isHealthy(states: readonly ProcessState[]): boolean {
+  const newest = Math.max(...states.map(({routeVersion}) => routeVersion));
+  return states.every(
+    ({phase, lacksStore, routeVersion}) =>
+      phase === ProcessPhase.READY && !lacksStore && routeVersion === newest,
+  );
+}
+
+function summarizeProcess(
+  process: string,
+  events: readonly TimelineEvent[],
+): ProcessState {
+  const kinds = events.map(({kind}) => kind);
+  const details = events.map(detailsOf);
+  const lastOf = (known: object) =>
+    kinds.filter(kind => Object.hasOwn(known, kind)).pop() ?? '';
+  return {
+    process,
+    phase: PHASES[lastOf(PHASES)] ?? ProcessPhase.NOT_READY,
+    lastLineMs: events[events.length - 1].physicalMs,
+    starts: kinds.filter(kind => kind === 'started').length,
+    unplannedEnds: countUnplannedEnds(kinds),
+    routeVersion: Math.max(0, ...details.map(versionIn)),
+    lacksStore: STORE_ANSWERS[lastOf(STORE_ANSWERS)] === false,
+    errors: kinds.filter(kind => ERRORS.has(kind)).length,
+    linesMissing: events.reduce((sum, event) => sum + missingIn(event), 0),
+  };
+}
+
+/** A start that follows another one with no stop between them ended unplanned. */
+function countUnplannedEnds(kinds: readonly string[]): number {
+  const life = kinds.filter(kind => kind === 'started' || kind === 'stopped');
+  return life.filter(
+    (kind, index) => kind === 'started' && life[index - 1] === 'started',
+  ).length;
+}
+
+function versionIn({routeVersion}: Details): number {
+  return typeof routeVersion === 'number' ? routeVersion : 0;
+}
+
+/** Lines that this one says were left out by the budget or lost by a slow reader. */
+function missingIn(event: TimelineEvent): number {
+  const {count, linesLost} = detailsOf(event);
+  const leftOut = event.kind === 'lines-left-out' ? Number(count) : 0;
+  return leftOut + Number(linesLost ?? 0);
+}
+
+function detailsOf(event: TimelineEvent): Details {
+  return JSON.parse(event.detailJson) as Details;
+}
