Logs tell lost peers and who reads the store; peers by address

Cause: a peer that went silent and a change of who waits at the store left no line, and peers stood in the lines as numbers. Change: peer-lost with how long it was silent, reader-changed with the rank and the live peers, addresses as text. Tests: peer-ages.spec.ts, entry-daemon.spec.ts (both readers killed).

--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -96,6 +96,8 @@
   /** The next read takes everything, since events may have been missed. */
   private needsWhole = false;
   private failures = 0;
+  /** Whether its rank has this daemon wait for events all the time. */
+  private waitsAtSource = false;
   private outOfTouchUntil = -Infinity;
   private timer: Timer | undefined;
   /** When the first read is due if no peer answers; monotonic milliseconds. */
@@ -152,6 +154,7 @@
         : this.firstReadAt;
     }
     const rank = this.options.rank();
+    this.noteRank(rank);
     if (rank < WAITING_RANKS) {
       return -Infinity;
     }
@@ -166,6 +169,16 @@
     return confirmedAt + bounded;
   }
 
+  /** Logs when this daemon takes up, or gives up, waiting at the source. */
+  private noteRank(rank: number): void {
+    const waits = rank < WAITING_RANKS;
+    if (waits !== this.waitsAtSource) {
+      this.waitsAtSource = waits;
+      const peers = this.options.peerCount();
+      this.options.log.info('reader-changed', {waits, rank, peers});
+    }
+  }
+
   private async readOnce(): Promise<SourceFailure | undefined> {
     const {catalog, clock} = this.options;
     const sentAt = clock.now();
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -9,6 +9,7 @@
 import type {Clock, Timer} from '../ports/clock.js';
 import type {FleetChannel} from '../ports/fleet-channel.js';
 import type {Log} from '../ports/log.js';
+import {formatIpv4} from '../routing/ipv4.js';
 import type {Random} from '../routing/random.js';
 import {ageOf, applyUpdate, updateFor} from './catalog-messages.js';
 import type {Catalog} from './catalog.js';
@@ -97,6 +98,7 @@
     const {clock, random} = this.options;
     const pause = BEAT_MS * (0.9 + random.next() / 5);
     this.timer = clock.callAt(clock.now() + pause, () => this.tick());
+    this.tellLost();
     this.announce();
     if (this.round % ROUNDS_BETWEEN_GREETINGS === 0) {
       this.greetSilent();
@@ -104,6 +106,19 @@
     this.round += 1;
   }
 
+  /** One line for each peer that nobody has heard of for a while. */
+  private tellLost(): void {
+    const {peers, clock, log} = this.options;
+    const now = clock.now();
+    peers.takeLost(now).forEach(({address, failureDomain, aliveAt}) =>
+      log.info('peer-lost', {
+        peer: formatIpv4(address),
+        failureDomain,
+        silentMs: Math.round(now - aliveAt),
+      }),
+    );
+  }
+
   /** Beats to those that may be back, so that cuts heal. */
   private greetSilent(): void {
     const {peers, clock, random} = this.options;
@@ -188,7 +203,7 @@
     );
     if (isNew) {
       this.options.log.info('peer-found', {
-        peer: sender,
+        peer: formatIpv4(sender),
         failureDomain: told.failureDomain,
       });
     }
@@ -255,7 +270,10 @@
         this.relay();
       },
       failure =>
-        log.warn('pull-failed', {peer: sender, cause: failure.message}),
+        log.warn('pull-failed', {
+          peer: formatIpv4(sender),
+          cause: failure.message,
+        }),
     );
   }
 
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -128,6 +128,28 @@
   assert.deepEqual(versions, [2, 2, 2]);
 });
 
+test('logs tell which daemons read the store, and which peers are lost', async () => {
+  const world = await createWorld();
+  await world.clock.advance(2_000);
+  const isLast = (process: string, event: string, waits: boolean) =>
+    world.lines
+      .filter(line => line.process === process && line.event === event)
+      .pop()?.fields['waits'] === waits;
+  const names = [...world.daemons.keys()];
+  const readers = names.filter(name => isLast(name, 'reader-changed', true));
+  assert.equal(readers.length, 2);
+  readers.forEach(name => world.killDaemon(name));
+  const before = world.lines.length;
+  await world.clock.advance(5_000);
+  const left = names.filter(name => !readers.includes(name));
+  const next = left.filter(name => isLast(name, 'reader-changed', true));
+  assert.equal(next.length, 2);
+  const lost = world.lines
+    .slice(before)
+    .filter(({event}) => event === 'peer-lost');
+  assert.equal(lost.length, left.length * readers.length);
+});
+
 test('a daemon cut off from the store hears of a new version from peers', async () => {
   const world = await createWorld();
   [...world.daemons.keys()]
--- a/src/membership/peer-ages.spec.ts
+++ b/src/membership/peer-ages.spec.ts
@@ -72,3 +72,18 @@
   assert.equal(addresses.length, 8);
   assert.equal(new Set(addresses).size, 8);
 });
+
+test('a peer that falls silent is told as lost once, and again after its return', () => {
+  const peers = createAges();
+  peers.merge(told(2, 0), 0);
+  assert.deepEqual(lostAt(peers, 2_500), []);
+  assert.deepEqual(lostAt(peers, 2_600), [2]);
+  assert.deepEqual(lostAt(peers, 3_100), []);
+  peers.merge(told(2, 0), 4_000);
+  assert.deepEqual(lostAt(peers, 4_500), []);
+  assert.deepEqual(lostAt(peers, 7_000), [2]);
+});
+
+function lostAt(peers: PeerAges, now: number): number[] {
+  return peers.takeLost(now).map(({address}) => address);
+}
--- a/src/membership/peer-ages.ts
+++ b/src/membership/peer-ages.ts
@@ -32,6 +32,8 @@
 /** What one daemon knows of the others. */
 export class PeerAges {
   private readonly peers = new Map<number, PeerDaemon>();
+  /** When peers were last looked through for lost ones; monotonic milliseconds. */
+  private lookedAt = -Infinity;
 
   private constructor(
     private readonly self: number,
@@ -80,6 +82,15 @@
     );
   }
 
+  /** Peers that have come to count as down since the last call. */
+  takeLost(now: number): PeerDaemon[] {
+    const since = this.lookedAt;
+    this.lookedAt = now;
+    return this.silent(now).filter(
+      ({aliveAt}) => since - aliveAt <= LIVE_AGE_MS,
+    );
+  }
+
   /** Ages to tell in the next beat: all of a small fleet, some of a large one. */
   told(now: number): PeerAge[] {
     this.forget(now);
