--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -16,7 +16,8 @@
 import type {Placement} from '../src/routing/placement.js';
 import {Random} from '../src/routing/random.js';
 import {CatalogStore, MemoryCatalogSource} from './catalog-store.js';
-import {CallEnd, CookieCaller, flowName} from './cookie-callers.js';
+import {CookieCallerFleet} from './cookie-caller-fleet.js';
+import {CallEnd, flowName, type CookieCaller} from './cookie-callers.js';
 import {CookieServerFleet} from './cookie-server-fleet.js';
 import type {CookieServer, ServerPacket} from './cookie-servers.js';
 import {FakeClock, ProcessClock} from './fake-clock.js';
@@ -39,6 +40,7 @@
 const FIRST_DAEMON_ADDRESS = 0x0a000001;
 const FIRST_SERVER_ADDRESS = 0x0a800001;
 const FIRST_CALLER_ADDRESS = 0x64400001;
+const CALLER_ADDRESSES = 50;
 const SERVER_PORT = 8_080;
 const QUEUE_LENGTH = 8;
 
@@ -87,10 +89,9 @@
     tookMs: [],
   };
   private readonly servers: CookieServerFleet;
-  private readonly callers = new Map<string, CookieCaller>();
+  private readonly callers: CookieCallerFleet;
   private routes: RouteListing = {version: 0, routes: []};
   private serverCount = 0;
-  private callerCount = 0;
 
   private constructor(
     private readonly plan: WorldPlan,
@@ -102,7 +103,7 @@
     this.judge = PromiseJudge.create({
       clock: this.clock,
       bounds: plan.bounds,
-      ownerOf: flow => this.servers.find(this.callers.get(flow)?.server ?? ''),
+      ownerOf: flow => this.servers.find(this.callers.serverOf(flow) ?? ''),
     });
     this.servers = CookieServerFleet.create({
       store: this.store,
@@ -113,6 +114,13 @@
         this.clock.callAt(this.clock.now() + milliseconds, task);
       },
     });
+    this.callers = CookieCallerFleet.create({
+      clock: this.clock,
+      firstAddress: FIRST_CALLER_ADDRESS,
+      addresses: CALLER_ADDRESSES,
+      send: packet => this.sendToFabric(packet),
+      onEnd: (end, startedAt) => this.noteEnd(end, startedAt),
+    });
   }
 
   /** Creates a world whose daemons run and whose routes are published. */
@@ -249,21 +257,7 @@
 
   /** Starts a caller with some requests on one flow. */
   call(route: CatalogRoute, requests: number, limitMs: number): CookieCaller {
-    this.callerCount += 1;
-    const startedAt = this.clock.now();
-    const caller = CookieCaller.create({
-      clock: this.clock,
-      sourceAddress: FIRST_CALLER_ADDRESS + (this.callerCount % 50),
-      sourcePort: 1_024 + (this.callerCount % 60_000),
-      destinationAddress: route.address,
-      destinationPort: route.port,
-      requests,
-      deadline: startedAt + limitMs,
-      send: packet => this.sendToFabric(packet),
-      onEnd: end => this.noteEnd(end, startedAt),
-    });
-    this.callers.set(caller.flow, caller);
-    return caller;
+    return this.callers.start(route, requests, limitMs);
   }
 
   /** Hands a daemon's packet over to the server that it means. */
@@ -282,7 +276,7 @@
       const flow = flowName(packet);
       const {destinationAddress: address, destinationPort: port} = packet;
       this.judge.judgeReset(flow, {address, port}, daemon);
-      this.callers.get(flow)?.receiveReset();
+      this.callers.find(flow)?.receiveReset();
     });
   }
 
@@ -340,7 +334,7 @@
   }
 
   private sendToCaller(packet: ServerPacket): void {
-    this.after(() => this.callers.get(packet.flow)?.receive(packet));
+    this.after(() => this.callers.find(packet.flow)?.receive(packet));
   }
 
   private after(task: () => void): void {
