Catalog: digest toggled in one place; spans of time named as such

Server entries sent the time until a deadline as an "age"; the digest was combined in three places. Doc comments say keys, state and order of fields.

--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -11,12 +11,17 @@
 import type {Catalog, KnownRoute} from './catalog.js';
 import {ServerState, type CatalogServer} from './records.js';
 
-/** Ages above this are sent as this: one hour, in milliseconds. */
-const OLDEST_AGE_MS = 3_600_000;
+/** Longer spans are sent as this: one hour, in milliseconds. */
+const LONGEST_SPAN_MS = 3_600_000;
 
-/** Milliseconds since `at`, as it is sent. */
+/** Milliseconds since `at`, as they are sent. */
 export function ageOf(at: number, now: number): number {
-  return Math.round(Math.min(OLDEST_AGE_MS, Math.max(0, now - at)));
+  return spanBetween(at, now);
+}
+
+/** Milliseconds from one time to a later one, as they are sent; 0 if it is not later. */
+function spanBetween(from: number, to: number): number {
+  return Math.round(Math.min(LONGEST_SPAN_MS, Math.max(0, to - from)));
 }
 
 /** What a daemon that holds these versions lacks. */
@@ -119,34 +124,41 @@
   };
 }
 
+/** The state is sent as a flag and the deadline as the time that is left. */
 function encodeServer(server: CatalogServer, now: number): ServerEntry {
-  const {id, service, address, port, failureDomain} = server;
+  const {id, service, address, port, failureDomain, slots} = server;
+  const {createdRevision, revision} = server;
   return {
     id,
     service,
     address,
     port,
     failureDomain,
-    slots: server.slots,
+    slots,
     draining: server.state === ServerState.DRAINING,
-    coldMs: ageOf(now, server.coldUntil),
-    createdRevision: server.createdRevision,
-    revision: server.revision,
+    coldMs: spanBetween(now, server.coldUntil),
+    createdRevision,
+    revision,
   };
 }
 
+/**
+ * The inverse of `encodeServer`. Fields stand in the order in which the store's
+ * entries are decoded, so that the router meets servers of one shape.
+ */
 function decodeServer(entry: ServerEntry, now: number): CatalogServer {
-  const {id, service, address, port, failureDomain} = entry;
+  const {id, service, address, port, failureDomain, slots} = entry;
+  const {createdRevision, revision} = entry;
   return {
     id,
     service,
     address,
     port,
     failureDomain,
-    slots: entry.slots,
+    slots,
     state: entry.draining ? ServerState.DRAINING : ServerState.READY,
     coldUntil: now + entry.coldMs,
-    createdRevision: entry.createdRevision,
-    revision: entry.revision,
+    createdRevision,
+    revision,
   };
 }
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -56,7 +56,9 @@
   private readonly servers: ServerTable;
   private readonly departures: Departures;
   private readonly cookies: CookieIndex;
+  /** Routes of the newest version by `destinationKey`. */
   private readonly routes = new Map<number, KnownRoute>();
+  /** Services that any version gave to a destination, by `destinationKey`. */
   private readonly allowed = new Map<number, Set<string>>();
   private readonly listeners: CatalogListener[] = [];
   private routeVersion = 0;
@@ -152,7 +154,8 @@
   /**
    * Takes a version of the routes that a read at `confirmedAt` (monotonic
    * milliseconds) showed to be the newest. `earlier` are services that former
-   * versions gave to a destination. An older version changes nothing.
+   * versions gave to a destination, by `destinationKey`. An older version changes
+   * nothing.
    */
   takeRoutes(
     listing: RouteListing,
@@ -178,7 +181,7 @@
     });
   }
 
-  /** Notes that the routes held were still the newest at a time. */
+  /** Notes that a version, if it is held, was still the newest at a time. */
   confirmRoutes(version: number, at: number): void {
     if (version === this.routeVersion) {
       this.routesConfirmedAt = Math.max(this.routesConfirmedAt, at);
@@ -250,6 +253,7 @@
     this.noteServersConfirmed(at);
   }
 
+  /** Departed servers that no flow can name any more lose their cookies. */
   private noteServersConfirmed(at: number): void {
     this.serversConfirmedAt = Math.max(this.serversConfirmedAt, at);
     const forgotten = this.departures.confirm(at);
@@ -276,6 +280,7 @@
     }
   }
 
+  /** Removes a listed server, unless its record is newer than the removal. */
   private depart(
     id: string,
     revision: number,
@@ -312,6 +317,7 @@
     });
   }
 
+  /** Adds services to those of a destination; returns all of them. */
   private allow(key: number, services: readonly string[]): Set<string> {
     const known = this.allowed.get(key) ?? new Set<string>();
     services.forEach(service => known.add(service));
--- a/src/catalog/departures.ts
+++ b/src/catalog/departures.ts
@@ -33,7 +33,7 @@
 /** The departed servers of one daemon. */
 export class Departures {
   private readonly departures = new Map<string, Departure>();
-  /** What `lapsed` answers, until a departure changes. */
+  /** What `lapsed` answers; undefined once a departure may have changed. */
   private lapsedNow: readonly CatalogServer[] | undefined;
   private confirmedAt = -Infinity;
   /** Reads have had no gap since then; monotonic milliseconds. */
@@ -78,12 +78,12 @@
 
   /** Records a server that the list read at `at` does not hold. */
   add(server: CatalogServer, at: number): void {
-    const drained = server.state === ServerState.DRAINING;
+    const isDrained = server.state === ServerState.DRAINING;
     this.lapsedNow = undefined;
     this.departures.set(server.id, {
       server,
       missingSince: at,
-      mayHaveLapsed: !drained && at - this.steadySince < LAPSE_GRACE_MS,
+      mayHaveLapsed: !isDrained && at - this.steadySince < LAPSE_GRACE_MS,
       gone: false,
       forgetAt: at + this.flowLifetimeMs,
     });
@@ -117,6 +117,7 @@
     return this.lapsedNow;
   }
 
+  /** Forgets servers that no flow can name any more; returns their ids. */
   private forgetOld(at: number): string[] {
     const old = [...this.departures]
       .filter(([, {forgetAt}]) => forgetAt <= at)
--- a/src/catalog/server-table.ts
+++ b/src/catalog/server-table.ts
@@ -34,7 +34,8 @@
   private removals: RemovedServer[] = [];
   /** All removals after this revision are remembered. */
   private removalsSince = 0;
-  private hash = 0;
+  /** Exclusive or over the hashes of all listed servers, as an unsigned number. */
+  private combinedHash = 0;
 
   private constructor(private readonly hasher: Hasher) {}
 
@@ -45,7 +46,7 @@
 
   /** The same for equal sets of servers, in whatever order they came. */
   get digest(): number {
-    return this.hash;
+    return this.combinedHash;
   }
 
   /** All listed servers. */
@@ -63,7 +64,7 @@
     return this.succeeded.has(id);
   }
 
-  /** Whether a record says more than the one that is held. */
+  /** Whether a record is of a server that is new or in another state than held. */
   isNews(server: CatalogServer): boolean {
     const known = this.servers.get(server.id);
     return known === undefined || known.state !== server.state;
@@ -72,8 +73,10 @@
   /** Takes a server's newest record. */
   put(server: CatalogServer): void {
     const known = this.servers.get(server.id);
-    this.hash ^= known === undefined ? 0 : this.hashOf(known);
-    this.hash = (this.hash ^ this.hashOf(server)) >>> 0;
+    if (known !== undefined) {
+      this.toggleInDigest(known);
+    }
+    this.toggleInDigest(server);
     this.servers.set(server.id, server);
     this.open.delete(server.service);
     this.noteAddress(server);
@@ -83,7 +86,7 @@
   remove(server: CatalogServer, revision: number): void {
     this.servers.delete(server.id);
     this.succeeded.delete(server.id);
-    this.hash = (this.hash ^ this.hashOf(server)) >>> 0;
+    this.toggleInDigest(server);
     this.open.delete(server.service);
     const key = destinationKey(server.address, server.port);
     if (this.newestAt.get(key)?.id === server.id) {
@@ -123,6 +126,7 @@
         };
   }
 
+  /** Of two servers at one address, the one that was created earlier has ended. */
   private noteAddress(server: CatalogServer): void {
     const key = destinationKey(server.address, server.port);
     const other = this.newestAt.get(key);
@@ -138,6 +142,7 @@
     }
   }
 
+  /** Drops the older half of the removals when there are too many. */
   private rememberRemoval(removal: RemovedServer): void {
     this.removals.push(removal);
     if (this.removals.length > MAXIMUM_REMOVALS) {
@@ -151,7 +156,9 @@
     }
   }
 
-  private hashOf({id, state}: CatalogServer): number {
-    return this.hasher.hashText(`${id}/${state}`, DIGEST_SEED);
+  /** Adds a server's record to the digest, or takes it out again. */
+  private toggleInDigest({id, state}: CatalogServer): void {
+    const hash = this.hasher.hashText(`${id}/${state}`, DIGEST_SEED);
+    this.combinedHash = (this.combinedHash ^ hash) >>> 0;
   }
 }
