--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -147,10 +147,7 @@
     const now = clock.now();
     const known = this.flows.find(packet);
     if (known?.isOpen === true && packet.openCopy > 0) {
-      // A copy that was overtaken by the flow's later packets.
-      const {server} = known;
-      const cookie = catalog.cookieOf(server) ?? NO_COOKIE;
-      return {verdict: Verdict.FORWARD, server, cookie};
+      return this.repeatOpening(known.server);
     }
     const tried = known === undefined || known.isOpen ? [] : known.tried;
     tried.slice(-1).forEach(last => this.noteUnanswered(last, now));
@@ -163,12 +160,20 @@
     return {verdict: Verdict.FORWARD, server, cookie};
   }
 
+  /** A copy that was overtaken by its flow's later packets goes where they went. */
+  private repeatOpening(server: CatalogServer): CookieForward {
+    const cookie = this.options.catalog.cookieOf(server) ?? NO_COOKIE;
+    return {verdict: Verdict.FORWARD, server, cookie};
+  }
+
+  /** Counts a packet without an answer; tells of a server that falls silent. */
   private noteUnanswered(server: CatalogServer, now: number): void {
     if (this.options.work.noteUnanswered(server.id, now)) {
       this.options.onSilent(server);
     }
   }
 
+  /** A server for a new flow; undefined when the route's service has none. */
   private place(
     route: KnownRoute,
     tried: readonly CatalogServer[],
@@ -178,6 +183,7 @@
     const servers = this.sample(
       catalog.openServers(this.chooseService(route)),
     ).filter(server => catalog.cookieOf(server) !== undefined);
+    this.noteOverdue(servers, now);
     const usable = this.usableOf(servers, tried, now);
     if (usable.length === 0) {
       return undefined;
@@ -198,6 +204,14 @@
     return [...end, ...servers.slice(0, LARGEST_CHOICE - end.length)];
   }
 
+  /** Servers that left an opening unanswered for longer than usual are avoided. */
+  private noteOverdue(servers: readonly CatalogServer[], now: number): void {
+    const {work} = this.options;
+    servers
+      .filter(({id}) => work.hasRefused(id, now))
+      .forEach(server => this.noteUnanswered(server, now));
+  }
+
   /**
    * Servers not tried yet that answer. When fewer than half of the servers
    * answer, silence counts for nothing: it may be this daemon's network.
@@ -208,9 +222,6 @@
     now: number,
   ): readonly CatalogServer[] {
     const {work} = this.options;
-    servers
-      .filter(({id}) => work.hasRefused(id, now))
-      .forEach(server => this.noteUnanswered(server, now));
     const answering = servers.filter(({id}) => !work.isSilent(id, now));
     const trusted =
       answering.length * 2 >= servers.length ? answering : servers;
@@ -239,12 +250,13 @@
   private chooseService(route: KnownRoute): string {
     const total = route.shares.reduce((sum, {weight}) => sum + weight, 0);
     const point = this.options.random.next() * total;
-    const reached = route.shares.map((_share, index) =>
+    // The end of each share on the line from 0 to the total.
+    const ends = route.shares.map((_share, index) =>
       route.shares
         .slice(0, index + 1)
         .reduce((sum, {weight}) => sum + weight, 0),
     );
-    const index = reached.findIndex(end => point < end);
+    const index = ends.findIndex(end => point < end);
     return route.shares[Math.max(0, index)]?.service ?? '';
   }
 
