--- a/standins/template.ts
+++ b/standins/template.ts
@@ -3,6 +3,7 @@
  * joined by commas, and a value that is missing leaves nothing.
  */
 
+/** A gap; its path names the parts of a tree from the root, between points. */
 const GAP = /\{\{(?<path>[\w.]+)\}\}/g;
 
 /** Fills a template from a tree of values. */
@@ -12,6 +13,7 @@
   );
 }
 
+/** The value at a path; undefined when the tree does not hold it. */
 function valueAt(values: object, path: string): unknown {
   return path
     .split('.')
@@ -24,6 +26,7 @@
     );
 }
 
+/** A value as it is written into the settings. */
 function textOf(value: unknown): string {
   if (value === undefined || value === null) {
     return '';
