--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -28,6 +28,8 @@
 import {PlannedStop} from './planned-stop.js';
 import type {EntrySettings} from './settings.js';
 
+const MICROSECONDS_A_MILLISECOND = 1_000;
+
 /** What a daemon is made from. */
 export interface EntryDaemonOptions {
   readonly settings: EntrySettings;
@@ -240,6 +242,7 @@
     return rankAmong(this.self(), this.peers.live(clock.now()), hasher);
   }
 
+  /** Forwards or refuses a packet; only openings and refusals are logged. */
   private handle(packet: CookiePacket): void {
     const {fabric, counters, clock, log} = this.options;
     this.lastPacketAt = clock.now();
@@ -297,6 +300,7 @@
     this.spread.announce();
   }
 
+  /** Logs a change; the work of departed servers is forgotten. */
   private noteChange(change: CatalogChange): void {
     const {log} = this.options;
     if (change.routeVersion !== undefined) {
@@ -332,17 +336,18 @@
   }
 }
 
+/** The flow of a packet, as it is logged. */
 function flowOf(packet: CookiePacket): LogFields {
   const source = `${formatIpv4(packet.sourceAddress)}:${packet.sourcePort}`;
   const destination = `${formatIpv4(packet.destinationAddress)}:${packet.destinationPort}`;
   return {source, destination};
 }
 
-/** What the process has used up to now: processor time and time. */
+/** Processor time and time since the process started; both in milliseconds. */
 function sinceStart(clock: Clock): LogFields {
   const {user, system} = process.cpuUsage();
   return {
-    processorMs: Math.round((user + system) / 1_000),
+    processorMs: Math.round((user + system) / MICROSECONDS_A_MILLISECOND),
     sinceStartMs: Math.round(clock.now()),
   };
 }
--- a/src/entry/settings-file.ts
+++ b/src/entry/settings-file.ts
@@ -19,7 +19,10 @@
 
 type Sections = Readonly<Record<string, unknown>>;
 
-/** Reads the settings from a file's text; `file` is the name that faults show. */
+/**
+ * Reads the settings from a file's text; `file` is the name that faults show. The
+ * error holds all faults, in the order of the settings.
+ */
 export function readEntrySettings(
   file: string,
   text: string,
@@ -31,6 +34,7 @@
     : err(ConfigurationFaults.create(reader.faults));
 }
 
+/** The place of each setting in the file; docs/SETTINGS.md explains them. */
 function readAll(reader: SettingsReader): EntrySettings {
   return {
     name: reader.text('instance', 'name'),
@@ -67,6 +71,7 @@
     return new SettingsReader(file, sections);
   }
 
+  /** A text that is not empty. */
   text(section: string, key: string): string {
     const value = this.value(section, key);
     return value === '' ? this.fault(section, key, '', 'write a text') : value;
@@ -89,6 +94,7 @@
       : this.fault(section, key, 0, 'write a number above 0 such as 0.5');
   }
 
+  /** A duration above 0, in milliseconds. */
   duration(section: string, key: string): number {
     const right = 'write a duration above 0 such as 250ms, 10s, 5m or 2h';
     return (
@@ -97,6 +103,7 @@
     );
   }
 
+  /** A port from 1 up. */
   port(section: string, key: string): number {
     const value = Number(this.value(section, key));
     return Number.isInteger(value) && value > 0 && value <= HIGHEST_PORT
@@ -104,6 +111,7 @@
       : this.fault(section, key, 0, 'write a port from 1 to 65535');
   }
 
+  /** An IPv4 address as an unsigned number. */
   ipv4(section: string, key: string): number {
     const right = 'write an IPv4 address such as 10.20.0.1';
     return (
@@ -111,6 +119,7 @@
     );
   }
 
+  /** An "ip:port" pair, as it is written. */
   socket(section: string, key: string): string {
     const value = this.value(section, key);
     const right = 'write an IPv4 address and a port such as 10.20.0.1:443';
@@ -119,7 +128,7 @@
       : value;
   }
 
-  /** Addresses of "ip:port" pairs between commas; the list may be empty. */
+  /** IPv4 numbers of the "ip:port" pairs between commas; the list may be empty. */
   addresses(section: string, key: string): number[] {
     const right = 'write "ip:port" pairs between commas';
     return this.value(section, key)
@@ -143,6 +152,7 @@
     return value === undefined ? '' : String(value).trim();
   }
 
+  /** Notes a fault; returns what stands in place of the value. */
   private fault<T>(section: string, key: string, instead: T, right: string): T {
     const value = this.value(section, key);
     const wrong = value === '' ? 'is missing' : `is ${JSON.stringify(value)}`;
