--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -8,9 +8,11 @@
 import vm from 'node:vm';
 import {build} from 'esbuild';
 
-const BUNDLE = 'target/weldyardd.bundle.cjs';
-const CODE = 'target/weldyardd.code';
-const LAUNCHER = 'target/weldyardd.cjs';
+// Another folder may be given, so that builds side by side do not meet.
+const FOLDER = process.argv[2] ?? 'target';
+const BUNDLE = `${FOLDER}/weldyardd.bundle.cjs`;
+const CODE = `${FOLDER}/weldyardd.code`;
+const LAUNCHER = `${FOLDER}/weldyardd.cjs`;
 
 await build({
   entryPoints: ['platform/main.ts'],
