A build replaces the program's files whole

Change: the bundle is wrapped in memory, and each file is renamed into its place. Test: launch.spec.ts reads the bundle while a second build runs; red before.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -3,7 +3,7 @@
  * and compiles little: all instances may start at once, each on a small share
  * of a processor.
  */
-import {readFileSync, writeFileSync} from 'node:fs';
+import {mkdirSync, renameSync, writeFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
 import vm from 'node:vm';
 import {build} from 'esbuild';
@@ -14,9 +14,20 @@
 const CODE = `${FOLDER}/weldyardd.code`;
 const LAUNCHER = `${FOLDER}/weldyardd.cjs`;
 
-await build({
+/**
+ * Puts a whole file in its place at once: a daemon that starts while a build runs
+ * takes the old file or the new one, and never half of one.
+ */
+function replaceFile(file, content) {
+  const written = `${file}.${process.pid}`;
+  writeFileSync(written, content);
+  renameSync(written, file);
+}
+
+const built = await build({
   entryPoints: ['platform/main.ts'],
   outfile: BUNDLE,
+  write: false,
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -28,15 +39,17 @@
 });
 
 // The bundle runs once without settings, which compiles what a start needs.
-const source = `(function (require, module, exports) {${readFileSync(BUNDLE, 'utf8')}\n})`;
+const source = `(function (require, module, exports) {${built.outputFiles[0].text}\n})`;
 const script = new vm.Script(source, {filename: BUNDLE});
 const module = {exports: {}};
 const require = createRequire(import.meta.url);
 process.env.WELDYARD_COMPILE_ONLY = '1';
 script.runInThisContext()(require, module, module.exports);
-writeFileSync(CODE, script.createCachedData());
-writeFileSync(BUNDLE, source);
-writeFileSync(
+mkdirSync(FOLDER, {recursive: true});
+// Code of another bundle is rejected by the runtime, and costs a slower start.
+replaceFile(CODE, script.createCachedData());
+replaceFile(BUNDLE, source);
+replaceFile(
   LAUNCHER,
   `'use strict';
 // Until the program handles it: without a listener the signal ends the process.
