--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -12,6 +12,10 @@
   readonly ended: Promise<number | null>;
 }
 
+/** The sets that still run something; all end when this process does. */
+const sets = new Set<Processes>();
+process.on('exit', () => sets.forEach(set => set.killAll()));
+
 /** All processes of one run. */
 export class Processes {
   private readonly started = new Map<string, StartedProcess>();
@@ -20,9 +24,7 @@
 
   /** Creates an empty set; everything in it ends when this process does. */
   static create(): Processes {
-    const processes = new Processes();
-    process.on('exit', () => processes.killAll());
-    return processes;
+    return new Processes();
   }
 
   /** Starts a Node program; its output goes to a file. */
@@ -43,10 +45,18 @@
     });
     const started = {name, child, ended};
     this.started.set(name, started);
-    void ended.then(() => this.started.delete(name));
+    sets.add(this);
+    void ended.then(() => this.forget(name));
     return started;
   }
 
+  private forget(name: string): void {
+    this.started.delete(name);
+    if (this.started.size === 0) {
+      sets.delete(this);
+    }
+  }
+
   /** A process by name, while it runs. */
   get(name: string): StartedProcess | undefined {
     return this.started.get(name);
