A ready server whose entry goes is not taken for ended before 20 s

Change: 20 s for such a server, 2.6 s as before for one that was draining or may have lapsed in an outage; cookies that nobody knows wait as long. A later server at the address is still proof at once. Ruled out: never resetting such flows, which would leave callers of crashed servers that pause for long to their deadlines.

--- a/src/catalog/departures.ts
+++ b/src/catalog/departures.ts
@@ -11,6 +11,14 @@
  */
 const LAPSE_GRACE_MS = 2_600;
 
+/**
+ * Time for which a server may serve on whose entry was removed although it was ready
+ * and the store was there, in milliseconds. Either it crashed, or it leaves without
+ * saying so: then it serves on for the drain time (3 s to 5 s on the deployments of
+ * today), at times for many seconds more. The two look alike.
+ */
+const QUIET_LEAVE_MS = 20_000;
+
 /**
  * Time between two reads above which the store may have been away, in
  * milliseconds: three reads missed.
@@ -22,6 +30,8 @@
   readonly server: CatalogServer;
   /** Monotonic milliseconds since when reads without a gap have missed it. */
   missingSince: number;
+  /** Time without its entry after which its end is certain, in milliseconds. */
+  readonly graceMs: number;
   /** It may have lapsed in an outage: new flows are still sent to it. */
   readonly mayHaveLapsed: boolean;
   /** Its end is certain. */
@@ -66,24 +76,30 @@
     this.confirmedAt = at;
     this.lapsedNow = undefined;
     this.departures.forEach(departure => {
-      departure.gone ||= at - departure.missingSince >= LAPSE_GRACE_MS;
+      departure.gone ||= at - departure.missingSince >= departure.graceMs;
     });
     return this.forgetOld(at);
   }
 
-  /** Whether reads without a gap go back further than an entry may lapse. */
+  /**
+   * Whether reads without a gap go back further than a server may serve on after its
+   * entry went.
+   */
   get isSteady(): boolean {
-    return this.confirmedAt - this.steadySince >= LAPSE_GRACE_MS;
+    return this.confirmedAt - this.steadySince >= QUIET_LEAVE_MS;
   }
 
   /** Records a server that the list read at `at` does not hold. */
   add(server: CatalogServer, at: number): void {
     const isDrained = server.state === ServerState.DRAINING;
     this.lapsedNow = undefined;
+    const mayHaveLapsed = !isDrained && at - this.steadySince < LAPSE_GRACE_MS;
+    const isExplained = isDrained || mayHaveLapsed;
     this.departures.set(server.id, {
       server,
       missingSince: at,
-      mayHaveLapsed: !isDrained && at - this.steadySince < LAPSE_GRACE_MS,
+      graceMs: isExplained ? LAPSE_GRACE_MS : QUIET_LEAVE_MS,
+      mayHaveLapsed,
       gone: false,
       forgetAt: at + this.flowLifetimeMs,
     });
