--- a/src/cli/flow-story.ts
+++ b/src/cli/flow-story.ts
@@ -1,5 +1,6 @@
 /** What the logs of all daemons say of one flow, and why it went as it did. */
 import type {TimelineEvent} from '../generated/peer.js';
+import {detailsOf} from './process-logs.js';
 
 /**
  * Time before the flow's first line from which its surroundings are told, in
@@ -28,9 +29,6 @@
   readonly findings: readonly string[];
 }
 
-/** An event's own fields; what stands in them is not known. */
-type Details = Readonly<Record<string, unknown>>;
-
 /**
  * Tells the story of the flow of a caller's "address:port"; `events` are in the
  * order of time.
@@ -142,7 +140,3 @@
     ].flat();
   });
 }
-
-function detailsOf(event: TimelineEvent): Details {
-  return JSON.parse(event.detailJson) as Details;
-}
--- a/src/cli/process-logs.ts
+++ b/src/cli/process-logs.ts
@@ -10,8 +10,8 @@
 /** What every line of a daemon's log begins with. */
 const LINE_START = '{"timestamp"';
 
-/** A line's fields; what stands in them is not known. */
-type Details = Readonly<Record<string, unknown>>;
+/** The fields of a line or of its event; what stands in them is not known. */
+export type Details = Readonly<Record<string, unknown>>;
 
 /** Fields that every line has; the others are the event's details. */
 const COMMON_FIELDS: ReadonlySet<string> = new Set([
@@ -74,6 +74,11 @@
   return parsed === undefined ? [] : eventOf(parsed);
 }
 
+/** An event's own fields, without those that every line has. */
+export function detailsOf(event: TimelineEvent): Details {
+  return JSON.parse(event.detailJson) as Details;
+}
+
 function parseObject(text: string): Details | undefined {
   try {
     return JSON.parse(text) as Details;
--- a/src/cli/process-states.spec.ts
+++ b/src/cli/process-states.spec.ts
@@ -90,3 +90,12 @@
   assert.equal(state.linesMissing, 15);
   assert.equal(state.phase, 'starting');
 });
+
+test('a log of hundreds of thousands of lines is summed up', () => {
+  const lines = Array.from({length: 200_000}, (_line, index): Line => [
+    'd1',
+    'routes-taken',
+    {routeVersion: index},
+  ]);
+  assert.equal(stateOf('d1', lines).routeVersion, 199_999);
+});
--- a/src/cli/process-states.ts
+++ b/src/cli/process-states.ts
@@ -1,5 +1,6 @@
 /** What log files say of each daemon: its state, its versions, its starts and ends. */
 import type {TimelineEvent} from '../generated/peer.js';
+import {detailsOf, type Details} from './process-logs.js';
 
 /** What the last line about its life says of a process. */
 export const ProcessPhase = {
@@ -52,20 +53,19 @@
   started: true,
 };
 
-/** An event's own fields; what stands in them is not known. */
-type Details = Readonly<Record<string, unknown>>;
-
 /** The state of each process, by name; `events` are in the order of time. */
 export function summarizeProcesses(
   events: readonly TimelineEvent[],
 ): ProcessState[] {
-  const names = [...new Set(events.map(({process}) => process))].sort();
-  return names.map(name =>
-    summarizeProcess(
-      name,
-      events.filter(({process}) => process === name),
-    ),
-  );
+  const byProcess = new Map<string, TimelineEvent[]>();
+  events.forEach(event => {
+    const own = byProcess.get(event.process) ?? [];
+    own.push(event);
+    byProcess.set(event.process, own);
+  });
+  return [...byProcess.keys()]
+    .sort()
+    .map(name => summarizeProcess(name, byProcess.get(name) ?? []));
 }
 
 /** Whether every process is ready, in touch, and on the newest version of all. */
@@ -91,10 +91,17 @@
     lastLineMs: events[events.length - 1].physicalMs,
     starts: kinds.filter(kind => kind === 'started').length,
     unplannedEnds: countUnplannedEnds(kinds),
-    routeVersion: Math.max(0, ...details.map(versionIn)),
+    // Not Math.max over all: it takes no more arguments than the stack holds.
+    routeVersion: details.reduce(
+      (newest, fields) => Math.max(newest, versionIn(fields)),
+      0,
+    ),
     lacksStore: STORE_ANSWERS[lastOf(STORE_ANSWERS)] === false,
     errors: kinds.filter(kind => ERRORS.has(kind)).length,
-    linesMissing: events.reduce((sum, event) => sum + missingIn(event), 0),
+    linesMissing: details.reduce(
+      (sum, fields, index) => sum + missingIn(kinds[index], fields),
+      0,
+    ),
   };
 }
 
@@ -111,12 +118,7 @@
 }
 
 /** Lines that this one says were left out by the budget or lost by a slow reader. */
-function missingIn(event: TimelineEvent): number {
-  const {count, linesLost} = detailsOf(event);
-  const leftOut = event.kind === 'lines-left-out' ? Number(count) : 0;
+function missingIn(kind: string, {count, linesLost}: Details): number {
+  const leftOut = kind === 'lines-left-out' ? Number(count) : 0;
   return leftOut + Number(linesLost ?? 0);
 }
-
-function detailsOf(event: TimelineEvent): Details {
-  return JSON.parse(event.detailJson) as Details;
-}
