--- a/src/adapters/datagram-fleet.ts
+++ b/src/adapters/datagram-fleet.ts
@@ -1,7 +1,6 @@
 /** Beats as UDP datagrams and pulls as HTTP calls, both in protobuf, on one port. */
 import type dgram from 'node:dgram';
-import http from 'node:http';
-import {err, ok, ResultAsync, type Result} from 'neverthrow';
+import {err, ok, type Result, type ResultAsync} from 'neverthrow';
 import {Beat, CatalogUpdate} from '../generated/catalog.js';
 import type {Clock} from '../ports/clock.js';
 import {Metric, type Counters} from '../ports/counters.js';
@@ -13,11 +12,17 @@
 import type {Log} from '../ports/log.js';
 import {PeerUnavailable} from '../ports/peers.js';
 import {formatIpv4, parseIpv4} from '../routing/ipv4.js';
+import {HttpClient, type HttpAnswer} from './http-client.js';
+import {
+  HttpStatus,
+  servePlainHttp,
+  type PlainAnswer,
+} from './plain-http-server.js';
 import {bindUdp} from './udp-socket.js';
 
 const PULL_PATH = '/catalog';
-const OK = 200;
-const NOT_FOUND = 404;
+/** Largest answer to a pull that is read, in bytes: some 20,000 servers. */
+const LARGEST_UPDATE_BYTES = 4 * 1_024 * 1_024;
 
 /** What a channel is made from. */
 export interface DatagramFleetOptions {
@@ -33,7 +38,7 @@
 /** The channel of one daemon. */
 export class DatagramFleet extends FleetChannel {
   private socket: dgram.Socket | undefined;
-  private server: http.Server | undefined;
+  private stopServing: () => void = () => undefined;
   private handlers: FleetHandlers | undefined;
 
   private constructor(private readonly options: DatagramFleetOptions) {
@@ -58,14 +63,10 @@
   /** Answers pulls; separate, since a starting daemon has nothing to give yet. */
   async servePulls(): Promise<void> {
     const {address, port} = this.options;
-    const server = http.createServer((request, response) =>
-      answerPull(this.handlers, request, response),
+    this.stopServing = await servePlainHttp(
+      `${formatIpv4(address)}:${port}`,
+      target => answerPull(this.handlers, target),
     );
-    this.server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, formatIpv4(address), resolve);
-    });
   }
 
   beat(address: number, beat: Beat): void {
@@ -85,15 +86,32 @@
       revision: String(held.serverRevision),
       servers: String(held.serverDigest),
     });
-    const path = `${PULL_PATH}?${query.toString()}`;
-    return new ResultAsync(this.fetch(address, path, deadline));
+    const {port, clock} = this.options;
+    const host = formatIpv4(address);
+    const client = HttpClient.create({
+      host,
+      port,
+      clock,
+      longestBody: LARGEST_UPDATE_BYTES,
+    });
+    return client
+      .get(`${PULL_PATH}?${query.toString()}`, deadline)
+      .mapErr(failure => failure.message)
+      .andThen(readUpdate)
+      .map(update => {
+        client.close();
+        return update;
+      })
+      .mapErr(cause => {
+        client.close();
+        return PeerUnavailable.create(host, cause);
+      });
   }
 
   async close(): Promise<void> {
     this.socket?.close();
     this.socket = undefined;
-    this.server?.close();
-    this.server?.closeAllConnections();
+    this.stopServing();
   }
 
   private noteUnsent(error: Error): void {
@@ -115,60 +133,23 @@
     }
     handlers.onBeat(sender, beat);
   }
-
-  private fetch(
-    address: number,
-    path: string,
-    deadline: number,
-  ): Promise<Result<CatalogUpdate, PeerUnavailable>> {
-    const {port, clock} = this.options;
-    const host = formatIpv4(address);
-    return new Promise(resolve => {
-      const request = http.get({host, port, path, agent: false});
-      const settle = (result: Result<CatalogUpdate, PeerUnavailable>) => {
-        timer.cancel();
-        request.destroy();
-        resolve(result);
-      };
-      const fail = (cause: string) =>
-        settle(err(PeerUnavailable.create(host, cause)));
-      const timer = clock.callAt(deadline, () => fail('no answer in time'));
-      request.on('error', error => fail(error.message));
-      request.on('response', response =>
-        readUpdate(response, fail, update => settle(ok(update))),
-      );
-    });
-  }
 }
 
-/** Reads the answer to a pull and calls one of the two. */
-function readUpdate(
-  response: http.IncomingMessage,
-  fail: (cause: string) => void,
-  take: (update: CatalogUpdate) => void,
-): void {
-  const chunks: Buffer[] = [];
-  response.on('data', (chunk: Buffer) => chunks.push(chunk));
-  response.on('error', error => fail(error.message));
-  response.on('end', () => {
-    const update = decodeUpdate(Buffer.concat(chunks));
-    if (response.statusCode !== OK || update === undefined) {
-      fail(`status ${response.statusCode}, unreadable`);
-    } else {
-      take(update);
-    }
-  });
+/** The update in an answer to a pull. */
+function readUpdate({status, body}: HttpAnswer): Result<CatalogUpdate, string> {
+  const update = decodeUpdate(body);
+  return status !== HttpStatus.OK || update === undefined
+    ? err(`status ${status}, unreadable`)
+    : ok(update);
 }
 
 function answerPull(
   handlers: FleetHandlers | undefined,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-): void {
-  const [path, query] = (request.url ?? '').split('?');
+  target: string,
+): PlainAnswer | undefined {
+  const [path, query] = target.split('?');
   if (path !== PULL_PATH || handlers === undefined) {
-    response.writeHead(NOT_FOUND).end();
-    return;
+    return undefined;
   }
   const held = new URLSearchParams(query);
   const update = handlers.onPull({
@@ -176,8 +157,11 @@
     serverRevision: Number(held.get('revision')),
     serverDigest: Number(held.get('servers')),
   });
-  response.writeHead(OK, {connection: 'close'});
-  response.end(CatalogUpdate.encode(update).finish());
+  return {
+    status: HttpStatus.OK,
+    contentType: 'application/octet-stream',
+    body: CatalogUpdate.encode(update).finish(),
+  };
 }
 
 /** Undefined for bytes that are no beat; the caller counts them. */
--- /dev/null
+++ b/src/adapters/http-client.spec.ts
@@ -0,0 +1,159 @@
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import net from 'node:net';
+import {test} from 'node:test';
+import {HttpClient, HttpFailureKind} from './http-client.js';
+import {plainText, servePlainHttp} from './plain-http-server.js';
+import {SystemClock} from './system-clock.js';
+
+const clock = SystemClock.create();
+const HOST = '127.0.0.1';
+const LIMIT_MS = 300;
+const LONGEST_BODY = 1_000;
+
+function soon(): number {
+  return clock.now() + LIMIT_MS;
+}
+
+/** Runs calls against a server of any kind. */
+async function withServer(
+  server: net.Server,
+  run: (client: HttpClient) => Promise<void>,
+): Promise<void> {
+  const sockets = new Set<net.Socket>();
+  server.on('connection', socket => sockets.add(socket));
+  await new Promise<void>(resolve => {
+    server.listen(0, HOST, resolve);
+  });
+  const {port} = server.address() as net.AddressInfo;
+  const client = HttpClient.create({
+    host: HOST,
+    port,
+    clock,
+    longestBody: LONGEST_BODY,
+  });
+  try {
+    await run(client);
+  } finally {
+    client.close();
+    server.close();
+    sockets.forEach(socket => socket.destroy());
+  }
+}
+
+test('answers in one piece, in chunks and up to the end of the connection are read whole', async () => {
+  const server = http.createServer((request, response) => {
+    if (request.url === '/chunks') {
+      response.write('some ');
+      setTimeout(() => response.end('text'), 5);
+    } else if (request.url === '/end') {
+      response.useChunkedEncodingByDefault = false;
+      response.setHeader('connection', 'close');
+      response.end('some text');
+    } else {
+      response.setHeader('content-length', 9).end('some text');
+    }
+  });
+  await withServer(server, async client => {
+    for (const path of ['/whole', '/chunks', '/end', '/whole']) {
+      const answer = (await client.get(path, soon()))._unsafeUnwrap();
+      assert.equal(answer.status, 200);
+      assert.equal(answer.body.toString(), 'some text', path);
+    }
+  });
+});
+
+test('calls one after the other share a connection, calls at once do not', async () => {
+  let connections = 0;
+  const server = http.createServer((_request, response) => {
+    setTimeout(() => response.end('x'), 5);
+  });
+  server.on('connection', () => (connections += 1));
+  await withServer(server, async client => {
+    await client.get('/', soon());
+    await client.get('/', soon());
+    assert.equal(connections, 1);
+    await Promise.all([client.get('/', soon()), client.get('/', soon())]);
+    assert.equal(connections, 2);
+  });
+});
+
+test('a connection that has fallen silent costs one deadline; new ones are taken after it', async () => {
+  let silent = false;
+  const server = net.createServer(socket => {
+    const isOld = !silent;
+    socket.on('data', () => {
+      if (!(isOld && silent)) {
+        socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx');
+      }
+    });
+  });
+  await withServer(server, async client => {
+    await Promise.all([client.get('/', soon()), client.get('/', soon())]);
+    silent = true;
+    const started = clock.now();
+    const failed = (await client.get('/', soon()))._unsafeUnwrapErr();
+    assert.equal(failed.kind, HttpFailureKind.SILENT);
+    assert.ok(clock.now() - started < LIMIT_MS * 1.5);
+    // The second old connection is as silent, and is not used again.
+    assert.ok((await client.get('/', soon())).isOk());
+    assert.ok((await client.get('/', soon())).isOk());
+  });
+});
+
+test('a closed port, an answer broken off, no HTTP and too long a body have their kinds', async () => {
+  const answers: Readonly<Record<string, string>> = {
+    '/broken': 'HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nx',
+    '/other': 'SSH-2.0-x\r\n\r\n',
+    '/long': `HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n${'x'.repeat(3_000)}`,
+  };
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.on('data', bytes => {
+      const path = bytes.toString().split(' ')[1];
+      socket.write(answers[path]);
+      if (path === '/broken') {
+        socket.end();
+      }
+    });
+  });
+  const kindOf = async (client: HttpClient, path: string) =>
+    (await client.get(path, soon()))._unsafeUnwrapErr().kind;
+  await withServer(server, async client => {
+    const {DISCONNECTED, MALFORMED} = HttpFailureKind;
+    assert.equal(await kindOf(client, '/broken'), DISCONNECTED);
+    assert.equal(await kindOf(client, '/other'), MALFORMED);
+    assert.equal(await kindOf(client, '/long'), MALFORMED);
+    server.close();
+    client.close();
+    assert.equal(await kindOf(client, '/broken'), DISCONNECTED);
+  });
+});
+
+test('requests on one connection are answered in their order; bytes that are none close it', async () => {
+  const port = 17_911;
+  const stop = await servePlainHttp(`${HOST}:${port}`, async target => {
+    await new Promise(resolve =>
+      setTimeout(resolve, target === '/slow' ? 20 : 0),
+    );
+    return target === '/none' ? undefined : plainText(200, target);
+  });
+  const socket = net.connect(port, HOST);
+  const request = (target: string) =>
+    `GET ${target} HTTP/1.1\r\nHost: x\r\n\r\n`;
+  let received = '';
+  socket.on('data', bytes => (received += bytes.toString()));
+  const closed = new Promise(resolve => socket.on('close', resolve));
+  socket.write(request('/slow') + request('/fast?a=1') + request('/none'));
+  while (!received.includes('404')) {
+    await new Promise(resolve => setTimeout(resolve, 2));
+  }
+  const bodies = [...received.matchAll(/\r\n\r\n(?<body>\/[a-z?=1]+)/g)];
+  assert.deepEqual(
+    bodies.map(({groups}) => groups?.['body']),
+    ['/slow', '/fast?a=1'],
+  );
+  socket.write('no request\r\n');
+  await closed;
+  stop();
+});
--- a/src/adapters/memory-counters.ts
+++ b/src/adapters/memory-counters.ts
@@ -7,8 +7,8 @@
   1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000,
 ];
 
-/** The module that writes the text; it is loaded late, so it is handed on. */
-type TextWriter = typeof prometheus;
+/** The module that writes the text. */
+export type TextWriter = typeof prometheus;
 
 /** Counters, gauges and histograms of one process. */
 export class MemoryCounters extends Counters {
@@ -17,13 +17,18 @@
   /** Counts by bucket; the last one has no upper bound. */
   private readonly histograms = new Map<Metric, number[]>();
 
-  private constructor() {
+  private constructor(private readonly loadWriter: () => Promise<TextWriter>) {
     super();
   }
 
-  /** Creates counters at zero. */
-  static create(): MemoryCounters {
-    return new MemoryCounters();
+  /**
+   * Creates counters at zero. The writer of the text is loaded with the first call
+   * that needs it, so that a start does not pay for it.
+   */
+  static create(
+    loadWriter: () => Promise<TextWriter> = () => import('prom-client'),
+  ): MemoryCounters {
+    return new MemoryCounters(loadWriter);
   }
 
   add(name: Metric, by = 1): void {
@@ -49,8 +54,7 @@
 
   /** All values in the text format of Prometheus. */
   async text(): Promise<string> {
-    // Loaded with the first call, so that a start does not pay for it.
-    const writer = await import('prom-client');
+    const writer = await this.loadWriter();
     const registry = new writer.Registry();
     this.counters.forEach((value, name) =>
       writeCounter(writer, registry, name, value),
--- /dev/null
+++ b/src/adapters/script-xxhash-hasher.spec.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {ScriptXxhashHasher} from './script-xxhash-hasher.js';
+import {XxhashHasher} from './xxhash-hasher.js';
+
+test('both hashers give the same values, so daemons of either agree', async () => {
+  const compiled = await XxhashHasher.create();
+  const script = ScriptXxhashHasher.create();
+  const seeds = fc.integer({min: 0, max: 2 ** 32 - 1});
+  fc.assert(
+    fc.property(fc.string({unit: 'binary'}), seeds, (text, seed) => {
+      assert.equal(script.hashText(text, seed), compiled.hashText(text, seed));
+    }),
+    {seed: 1},
+  );
+  fc.assert(
+    fc.property(fc.uint8Array({maxLength: 200}), seeds, (bytes, seed) => {
+      assert.equal(
+        script.hashBytes(bytes, seed),
+        compiled.hashBytes(bytes, seed),
+      );
+    }),
+    {seed: 2},
+  );
+});
