--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -42,10 +42,10 @@
 const LONGEST_RETRY_MS = 1_200;
 /**
  * Head start of the peers' answers over a starting daemon's own read, in
- * milliseconds: several round trips between failure domains. It is short, since
- * all daemons lose it when all of them start.
+ * milliseconds: a few round trips between failure domains and the peer's work. It is
+ * short, since all daemons lose it when all of them start.
  */
-const PEER_HEAD_START_MS = 30;
+const PEER_HEAD_START_MS = 10;
 /**
  * Longest head start when the fleet starts for the first time, in milliseconds:
  * callers come seconds later, and a fleet that reads at once reads in vain.
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -20,7 +20,10 @@
 const MESH_LIMIT = 16;
 /** Receivers of a beat in a larger fleet, besides one anywhere. */
 const NEAR_FAN_OUT = 2;
-/** Rounds between two beats to a peer that has fallen silent. */
+/**
+ * Rounds between two beats to a peer that has fallen silent. A daemon that hears of
+ * nobody greets in every round: it reads the source by itself until it does.
+ */
 const ROUNDS_BETWEEN_GREETINGS = 4;
 /** Deadline of one pull, in milliseconds. */
 const PULL_LIMIT_MS = 900;
@@ -100,7 +103,8 @@
     this.timer = clock.callAt(clock.now() + pause, () => this.tick());
     this.tellLost();
     this.announce();
-    if (this.round % ROUNDS_BETWEEN_GREETINGS === 0) {
+    const isAlone = this.livePeers() === 0;
+    if (isAlone || this.round % ROUNDS_BETWEEN_GREETINGS === 0) {
       this.greetSilent();
     }
     this.round += 1;
@@ -285,7 +289,11 @@
   }
 
   private isLarge(): boolean {
+    return this.livePeers() > MESH_LIMIT;
+  }
+
+  private livePeers(): number {
     const {peers, clock} = this.options;
-    return peers.live(clock.now()).length > MESH_LIMIT;
+    return peers.live(clock.now()).length;
   }
 }
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -79,6 +79,25 @@
   );
 });
 
+test('daemons that all start again, a while apart, hear of each other within a second', async () => {
+  const world = await createWorld();
+  const names = [...world.daemons.keys()];
+  names.forEach(name => world.killDaemon(name));
+  const linesBefore = world.lines.length;
+  await world.clock.advance(1_300);
+  // The seeds come last, so the others greet them in vain at first.
+  for (const name of [...names].reverse()) {
+    await world.startDaemon(name);
+    await world.clock.advance(80);
+  }
+  await world.clock.advance(1_000);
+  const isFound = (name: string) =>
+    world.lines
+      .slice(linesBefore)
+      .some(({process, event}) => process === name && event === 'peer-found');
+  names.forEach(name => assert.ok(isFound(name), name));
+});
+
 test('a flow stays at its server when the daemons that forwarded it are gone', async () => {
   const world = await createWorld();
   const callers = Array.from({length: 11}, () =>
