Starts pull no whole copy for former versions, and peers tell none

Cause: every start pulled a whole copy from the first peer that it heard of, to learn which services former versions had given to each route. Cookies of one destination show that by themselves, so the pull, the field and the map are worth nothing; when all daemons start at once each of them also served such pulls. Ruled out: that a version skipped on the way leaves flows behind: the cookie is now followed alone until no version has come for a flow's whole life. Change: the field of earlier services and the first pull are gone.

--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -7,7 +7,6 @@
   ServerList,
 } from '../generated/catalog.js';
 import type {HeldVersions} from '../ports/fleet-channel.js';
-import {destinationKey} from '../routing/flow-key.js';
 import type {Catalog, KnownRoute} from './catalog.js';
 import {ServerState, type CatalogServer} from './records.js';
 
@@ -74,17 +73,7 @@
     port,
     shares,
   }));
-  const earlier = new Map(
-    list.routes.map(({address, port, earlierServices}) => [
-      destinationKey(address, port),
-      earlierServices,
-    ]),
-  );
-  catalog.takeRoutes(
-    {version: list.version, routes},
-    now - list.ageMs,
-    earlier,
-  );
+  catalog.takeRoutes({version: list.version, routes}, now - list.ageMs);
 }
 
 function encodeRoutes(catalog: Catalog, now: number): RouteList {
@@ -97,12 +86,11 @@
 }
 
 function encodeRoute(route: KnownRoute): RouteEntry {
-  const {address, port, shares, allowedServices} = route;
+  const {address, port, shares} = route;
   return {
     address,
     port,
     shares: shares.map(({service, weight}) => ({service, weight})),
-    earlierServices: [...allowedServices],
   };
 }
 
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -65,8 +65,8 @@
   private readonly listeners: CatalogListener[] = [];
   private routeVersion = 0;
   private routesConfirmedAt = -Infinity;
-  /** Since when every version is known; monotonic milliseconds. */
-  private versionsKnownSince = Infinity;
+  /** When a version was last taken; monotonic milliseconds. */
+  private routesChangedAt = Infinity;
   private serverRevision = 0;
   private serversConfirmedAt = -Infinity;
 
@@ -134,9 +134,10 @@
   }
 
   /**
-   * The server of a cookie at a route. Its service must be one that a version gave
-   * to the route, once the versions of a flow's whole life are known; until then the
-   * cookie alone shows that one did. After the loss of all instances this keeps the
+   * The server of a cookie at a route. While the versions by which flows that live
+   * were opened may not all be known, the cookie alone shows that one of them gave
+   * the server's service to the route; later the service must be known to be one of
+   * theirs. After the loss of all instances this keeps the
    * flows that a former version opened: 84 of some 300 when four servers of ten had
    * only such flows, nearly all when a route had gone to another service. Callers
    * would wait for them in vain, and then all open new flows at once; measured as the
@@ -169,25 +170,18 @@
 
   /**
    * Takes a version of the routes that a read at `confirmedAt` (monotonic
-   * milliseconds) showed to be the newest. `earlier` are services that former
-   * versions gave to a destination, by `destinationKey`. An older version changes
-   * nothing.
+   * milliseconds) showed to be the newest. An older version changes nothing.
    */
-  takeRoutes(
-    listing: RouteListing,
-    confirmedAt: number,
-    earlier: ReadonlyMap<number, readonly string[]> = new Map(),
-  ): void {
+  takeRoutes(listing: RouteListing, confirmedAt: number): void {
     if (listing.version < this.routeVersion) {
       return;
     }
-    earlier.forEach((services, key) => this.allow(key, services));
     this.routesConfirmedAt = Math.max(this.routesConfirmedAt, confirmedAt);
-    this.versionsKnownSince = Math.min(this.versionsKnownSince, confirmedAt);
     if (listing.version === this.routeVersion) {
       return;
     }
     this.routeVersion = listing.version;
+    this.routesChangedAt = confirmedAt;
     this.routes.clear();
     this.cookieMasks.clear();
     listing.routes.forEach(route => this.putRoute(route));
@@ -338,10 +332,13 @@
     return mask;
   }
 
-  /** Whether every version is known by which a flow that lives was opened. */
+  /**
+   * Whether every flow that lives was opened by a version that is known: no other
+   * one came for as long as a flow lives, neither here nor skipped on the way here.
+   */
   private knowsVersions(): boolean {
     const {flowLifetimeMs} = this.options;
-    return this.routesConfirmedAt - this.versionsKnownSince >= flowLifetimeMs;
+    return this.routesConfirmedAt - this.routesChangedAt >= flowLifetimeMs;
   }
 
   private putRoute(route: CatalogRoute): void {
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -59,8 +59,6 @@
   private round = 0;
   /** Addresses of the peers that are being asked. */
   private readonly pulls = new Set<number>();
-  /** The first answer is asked for whole: it tells of former versions too. */
-  private hasPulled = false;
 
   private constructor(private readonly options: SpreadOptions) {}
 
@@ -246,8 +244,7 @@
         ? beat.serverDigest > stamp.serverDigest
         : beat.serverDigest !== stamp.serverDigest &&
           beat.serverRevision > stamp.serverRevision;
-    const firstPull = !this.hasPulled && beat.routeVersion > 0;
-    return newerRoutes || newerServers || firstPull;
+    return newerRoutes || newerServers;
   }
 
   private async pull(sender: number, isWhole: boolean): Promise<void> {
@@ -260,7 +257,7 @@
     const update = await channel.pull(
       sender,
       {
-        routeVersion: this.hasPulled ? stamp.routeVersion : 0,
+        routeVersion: stamp.routeVersion,
         serverRevision: isWhole ? 0 : stamp.serverRevision,
         serverDigest: stamp.serverDigest,
       },
@@ -269,7 +266,6 @@
     this.pulls.delete(sender);
     update.match(
       taken => {
-        this.hasPulled = true;
         applyUpdate(catalog, taken, clock.now());
         this.relay();
       },
