weldyard causes: openings, refusals and losses by span of time, from log files

The question of the first minutes is what happened to callers when; it was answered with scripts so far.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -12,11 +12,13 @@
   type ApplyOptions,
 } from './commands.js';
 import {
+  causes,
   explain,
   logs,
   status,
   statusFromLogs,
   timeline,
+  type CauseOptions,
   type TimelineOptions,
 } from './observation-commands.js';
 import {Platform} from './platform.js';
@@ -107,6 +109,11 @@
   .action((flow: string, files: string[], options: CommonOptions) =>
     explain(flow, files, options),
   );
+program
+  .command('causes <...files>', 'what happened to callers over time, by cause')
+  .option('--every <seconds>', 'length of a span', {default: 2})
+  .example('  $ weldyard causes *.log --every 1')
+  .action((files: string[], options: CauseOptions) => causes(files, options));
 program.help();
 program.version(VERSION);
 
--- a/src/cli/observation-commands.ts
+++ b/src/cli/observation-commands.ts
@@ -5,6 +5,7 @@
 import {writeFileSync} from 'node:fs';
 import type {TimelineEvent} from '../generated/peer.js';
 import {parseSocketAddress} from '../routing/ipv4.js';
+import {causeRows, countCauses} from './cause-table.js';
 import {
   ExitCode,
   print,
@@ -27,6 +28,8 @@
   printEvents,
 } from './timeline-view.js';
 
+const SECOND_MS = 1_000;
+
 /** Options of `timeline`. */
 export interface TimelineOptions extends CommonOptions {
   readonly since?: string;
@@ -37,6 +40,12 @@
   readonly out?: string;
 }
 
+/** Options of `causes`. */
+export interface CauseOptions extends CommonOptions {
+  /** Length of a span, in seconds. */
+  readonly every: number;
+}
+
 /** `status`: what each daemon says of itself. */
 export async function status(
   platform: Platform,
@@ -166,6 +175,27 @@
   }, reportFault);
 }
 
+/** `causes FILE...`: openings, refusals and losses in each span of time. */
+export function causes(
+  files: readonly string[],
+  options: CauseOptions,
+): ExitCode {
+  const spanMs = Number(options.every) * SECOND_MS;
+  if (!(spanMs > 0)) {
+    printError('--every: give a number of seconds above 0, such as 2');
+    return ExitCode.WRONG_USE;
+  }
+  return readProcessLogs(files).match(events => {
+    const spans = countCauses(events, spanMs);
+    print(
+      options.json === true
+        ? JSON.stringify({spans})
+        : formatTable(causeRows(spans)),
+    );
+    return ExitCode.DONE;
+  }, reportFault);
+}
+
 function showEvents(
   unsorted: readonly TimelineEvent[],
   options: TimelineOptions,
