Bounded views of peers, in which nobody is lost who lives

Cause: a beat tells of 8 peers, so in a fleet of 195 a daemon hears of a given peer every few seconds, and counted it as lost after 2.5 s.

Ruled out: a longer silence alone. The time between two words of a peer grows with the fleet, so any limit is too short for some size.

Change: a view holds at most 24 peers of the own failure domain and 24 of others, the newest of each; a peer that gives way is not lost. One is lost when it leaves three greetings unanswered and nobody has heard of it for 2.5 s. In a large fleet every daemon greets one near peer a round, so ends are found out. Planned stops count those that leave, or fell silent, among the own domain only.

Of 12 killed of 195 each is told within 6 s, by no daemon twice; half of 195 killed at once, and a domain cut off for 20 s of 88, stay in one piece (all hold a new version in 3 s).

--- a/src/catalog/reader-rank.ts
+++ b/src/catalog/reader-rank.ts
@@ -3,7 +3,7 @@
  * live; ranks only set how long a daemon waits for others to read, so views
  * that differ cost reads and nothing else.
  */
-import type {PeerDaemon} from '../membership/peer-ages.js';
+import type {PeerDaemon} from '../membership/peer-daemon.js';
 import type {Hasher} from '../ports/hasher.js';
 
 const RANK_SEED = 41;
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -5,7 +5,8 @@
  * large one to a few by chance, and news is passed on at once.
  */
 import type {Beat, PeerAge, ServerWork} from '../generated/catalog.js';
-import type {PeerAges, PeerDaemon} from '../membership/peer-ages.js';
+import type {PeerDaemon} from '../membership/peer-daemon.js';
+import type {PeerView} from '../membership/peer-view.js';
 import type {Clock, Timer} from '../ports/clock.js';
 import type {FleetChannel} from '../ports/fleet-channel.js';
 import type {Log} from '../ports/log.js';
@@ -35,7 +36,7 @@
 /** What the spread is made from. */
 export interface SpreadOptions {
   readonly catalog: Catalog;
-  readonly peers: PeerAges;
+  readonly peers: PeerView;
   readonly channel: FleetChannel;
   readonly clock: Clock;
   readonly log: Log;
@@ -88,32 +89,28 @@
 
   /** Sends a beat now, because there is news. */
   announce(): void {
-    const receivers = this.receivers();
-    if (receivers.length > 0) {
-      const beat = this.beat(false);
-      receivers.forEach(({address}) => this.send(address, beat));
-    }
+    this.sendToAll(this.receivers(), false);
   }
 
   private tick(): void {
     const {clock, random} = this.options;
     const pause = BEAT_MS * (0.9 + random.next() / 5);
     this.timer = clock.callAt(clock.now() + pause, () => this.tick());
-    this.tellLost();
-    this.announce();
+    this.beatAndGreet();
     const isAlone = this.livePeers() === 0;
     if (isAlone || this.round % ROUNDS_BETWEEN_GREETINGS === 0) {
       this.greetSilent();
     }
     this.round += 1;
+    this.tellLost();
   }
 
-  /** One line for each peer that nobody has heard of for a while. */
+  /** One line for each peer that is lost, here, or has left. */
   private tellLost(): void {
     const {peers, clock, log} = this.options;
     const now = clock.now();
-    peers.takeLost(now).forEach(({address, failureDomain, aliveAt}) =>
-      log.info('peer-lost', {
+    peers.takeLost(now).forEach(({address, failureDomain, leaving, aliveAt}) =>
+      log.info(leaving ? 'peer-left' : 'peer-lost', {
         peer: formatIpv4(address),
         failureDomain,
         silentMs: Math.round(now - aliveAt),
@@ -121,6 +118,25 @@
     );
   }
 
+  /**
+   * The beats of one round. Peers that owe an answer are greeted, and in a large fleet
+   * one that is near: so each daemon is asked by another one twice a second or so, and
+   * one that has ended is found out although few daemons know it.
+   */
+  private beatAndGreet(): void {
+    const {peers, clock} = this.options;
+    const now = clock.now();
+    const receivers = this.receivers();
+    const asked = this.isLarge() ? receivers.slice(0, 1) : [];
+    const greeted = new Map(
+      [...peers.toGreet(now), ...asked].map(peer => [peer.address, peer]),
+    );
+    greeted.forEach(peer => peers.noteGreeted(peer, now));
+    this.sendToAll([...greeted.values()], true);
+    const others = receivers.filter(({address}) => !greeted.has(address));
+    this.sendToAll(others, false);
+  }
+
   /** Beats to those that may be back, so that cuts heal. */
   private greetSilent(): void {
     const {peers, clock, random} = this.options;
@@ -130,12 +146,12 @@
       .seeds()
       .filter(address => !live.has(address));
     const silentPeer = random.pick(peers.silent(now));
-    const greeted = new Set(silentSeeds);
-    if (silentPeer !== undefined) {
-      greeted.add(silentPeer.address);
-    }
-    const beat = this.beat(true);
-    greeted.forEach(address => this.send(address, beat));
+    const addresses = silentPeer === undefined ? [] : [silentPeer.address];
+    const greeted = new Set([...silentSeeds, ...addresses]);
+    this.sendToAll(
+      [...greeted].map(address => ({address})),
+      true,
+    );
   }
 
   /** Peers that the next beat goes to. */
@@ -146,11 +162,30 @@
       return live;
     }
     // Most beats stay within the failure domain; one may cross.
-    const {failureDomain} = this.options.self();
-    const near = live.filter(peer => peer.failureDomain === failureDomain);
+    const near = this.nearPeers();
     return [...peers.sample(near, NEAR_FAN_OUT), ...peers.sample(live, 1)];
   }
 
+  /** Live peers of the own failure domain. */
+  private nearPeers(): PeerDaemon[] {
+    const {peers, clock} = this.options;
+    const {failureDomain} = this.options.self();
+    return peers
+      .live(clock.now())
+      .filter(peer => peer.failureDomain === failureDomain);
+  }
+
+  /** Sends one beat to some peers; with `hello` each of them answers at once. */
+  private sendToAll(
+    receivers: ReadonlyArray<Pick<PeerDaemon, 'address'>>,
+    hello: boolean,
+  ): void {
+    if (receivers.length > 0) {
+      const beat = this.beat(hello);
+      receivers.forEach(({address}) => this.send(address, beat));
+    }
+  }
+
   /** Sends a beat to any daemon but this one, which may be among the seeds. */
   private send(address: number, beat: Beat): void {
     if (address !== this.options.self().address) {
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -7,7 +7,7 @@
 import {CatalogReader} from '../catalog/reader.js';
 import {CatalogSpread} from '../catalog/spread.js';
 import type {PeerAge} from '../generated/catalog.js';
-import {PeerAges} from '../membership/peer-ages.js';
+import {PeerView} from '../membership/peer-view.js';
 import type {CatalogSource} from '../ports/catalog-source.js';
 import type {Clock} from '../ports/clock.js';
 import type {CookieFabric, CookiePacket} from '../ports/cookie-fabric.js';
@@ -48,7 +48,7 @@
 /** One running daemon. */
 export class EntryDaemon {
   readonly catalog: Catalog;
-  private readonly peers: PeerAges;
+  private readonly peers: PeerView;
   private readonly work: ServerWorkLedger;
   private readonly placement: Placement;
   private readonly router: CookieRouter;
@@ -64,10 +64,10 @@
 
   private constructor(private readonly options: EntryDaemonOptions) {
     const {settings, hasher, random} = options;
-    const {flowLifetimeMs, address, seeds} = settings;
+    const {flowLifetimeMs, address, failureDomain, seeds} = settings;
     this.seeds = seeds;
     this.catalog = Catalog.create({hasher, flowLifetimeMs});
-    this.peers = PeerAges.create(address, random);
+    this.peers = PeerView.create({self: address, failureDomain, random});
     this.work = ServerWorkLedger.create(hasher);
     this.placement = options.placement ?? OwnWorkPlacement.create();
     this.router = this.createRouter();
--- /dev/null
+++ b/src/entry/large-fleet.spec.ts
@@ -0,0 +1,109 @@
+/**
+ * Fleets of 30 to 300 daemons in memory: what each believes of its peers, and how
+ * often the fleet asks the store.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {XxhashHasher} from '../adapters/xxhash-hasher.js';
+import {formatIpv4} from '../routing/ipv4.js';
+import {OutageKind} from '../../standins/catalog-store.js';
+import {CookieWorld} from '../../standins/cookie-world.js';
+
+const ROUTE = {
+  address: 0xc6120001,
+  port: 443,
+  shares: [{service: 'pay', weight: 1}],
+};
+const BOUNDS = {drainMs: 3_000, configurationMs: 3_000};
+const CALM_MS = 20_000;
+
+/** A fleet that has started and serves nobody. */
+async function createFleet(daemons: number): Promise<CookieWorld> {
+  return CookieWorld.create(
+    {
+      seed: daemons,
+      daemons,
+      failureDomains: ['a', 'b', 'c', 'd', 'e'],
+      services: [{name: 'pay', servers: 20, slots: 2, workMs: 20}],
+      routes: [ROUTE],
+      bounds: BOUNDS,
+    },
+    await XxhashHasher.create(),
+  );
+}
+
+[30, 88, 195, 300].forEach(daemons =>
+  test(`none of ${daemons} daemons that all live is told as lost`, async () => {
+    const world = await createFleet(daemons);
+    await world.clock.advance(CALM_MS);
+    const lost = world.lines.filter(({event}) => event === 'peer-lost');
+    assert.equal(lost.length, 0);
+  }),
+);
+
+/** What daemons told of peers since a line, as "who told: of whom". */
+function lostSince(world: CookieWorld, firstLine: number): string[] {
+  return world.lines
+    .slice(firstLine)
+    .filter(({event}) => event === 'peer-lost')
+    .map(({process, fields}) => `${process}: ${fields['peer']}`);
+}
+
+function addressOf(world: CookieWorld, name: string): string {
+  return formatIpv4(world.daemonOf(name).settings.address);
+}
+
+/** Versions that the running daemons hold. */
+function versionsOf(world: CookieWorld): Set<number> {
+  return new Set(
+    [...world.daemons.values()].flatMap(({running}) =>
+      running === undefined ? [] : [running.catalog.stamp.routeVersion],
+    ),
+  );
+}
+
+test('daemons that end are told as lost within 6 s, and once by a daemon or not at all', async () => {
+  const world = await createFleet(195);
+  const ended = Array.from({length: 12}, (_daemon, index) => `d${index * 16}`);
+  const firstLine = world.lines.length;
+  ended.forEach(name => world.killDaemon(name));
+  await world.clock.advance(6_000);
+  const told = lostSince(world, firstLine);
+  assert.equal(new Set(told).size, told.length, 'told twice');
+  const addresses = new Set(told.map(line => line.split(': ')[1]));
+  const expected = ended.map(name => addressOf(world, name));
+  assert.deepEqual([...addresses].sort(), expected.sort());
+});
+
+test('a fleet that loses half of its daemons at once stays in one piece', async () => {
+  const world = await createFleet(195);
+  const names = [...world.daemons.keys()];
+  names
+    .filter((_name, index) => index % 2 === 0)
+    .forEach(name => world.killDaemon(name));
+  await world.clock.advance(6_000);
+  world.publish([ROUTE]);
+  await world.clock.advance(BOUNDS.configurationMs);
+  assert.deepEqual([...versionsOf(world)], [2]);
+});
+
+test('a failure domain that was cut off for long is in touch again after the cut', async () => {
+  const world = await createFleet(88);
+  const names = [...world.daemons.keys()];
+  const isCut = (name: string) => world.daemonOf(name).settings.failureDomain;
+  const inside = names.filter(name => isCut(name) === 'a');
+  const outside = names.filter(name => isCut(name) !== 'a');
+  const setCut = (cut: boolean) =>
+    inside.forEach(name =>
+      outside.forEach(other => world.cutBetween(name, other, cut)),
+    );
+  setCut(true);
+  await world.clock.advance(20_000);
+  setCut(false);
+  // The domain itself does not reach the store, so it depends on its peers.
+  inside.forEach(name => world.store.outages.set(name, OutageKind.SILENT));
+  await world.clock.advance(10_000);
+  world.publish([ROUTE]);
+  await world.clock.advance(BOUNDS.configurationMs);
+  assert.deepEqual([...versionsOf(world)], [2]);
+});
--- a/src/entry/planned-stop.spec.ts
+++ b/src/entry/planned-stop.spec.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {FakeClock} from '../../standins/fake-clock.js';
-import {PeerAges} from '../membership/peer-ages.js';
+import {PeerView} from '../membership/peer-view.js';
 import {Random} from '../routing/random.js';
 import {PlannedStop} from './planned-stop.js';
 
@@ -11,7 +11,11 @@
 /** A stop in a domain whose peers are told of by beats; it has seen a packet now. */
 function createStop() {
   const clock = FakeClock.create();
-  const peers = PeerAges.create(SELF, Random.create(1));
+  const peers = PeerView.create({
+    self: SELF,
+    failureDomain: 'a',
+    random: Random.create(1),
+  });
   const seen = {lastPacketAt: clock.now()};
   const stop = PlannedStop.create({
     clock,
--- a/src/entry/planned-stop.ts
+++ b/src/entry/planned-stop.ts
@@ -6,7 +6,7 @@
  * them, those that have ended included. So of daemons that are stopped in close
  * succession each waits for the one before it to be back.
  */
-import type {PeerAges} from '../membership/peer-ages.js';
+import type {PeerView} from '../membership/peer-view.js';
 import type {Clock} from '../ports/clock.js';
 
 /** Time between two looks, in milliseconds. */
@@ -22,13 +22,10 @@
 const RESERVE_MS = 800;
 /** Time kept back for forwarding after the wait for others, in milliseconds. */
 const FORWARDING_RESERVE_MS = 1_800;
-/** Silence up to which a peer is taken to be restarting, in milliseconds. */
-const RESTART_MS = 8_000;
-
 /** What a stop is made from. */
 export interface PlannedStopOptions {
   readonly clock: Clock;
-  readonly peers: PeerAges;
+  readonly peers: PeerView;
   readonly failureDomain: string;
   /** Longest time that the stop may take, in milliseconds. */
   readonly stopLimitMs: number;
@@ -66,19 +63,22 @@
     await this.lookUntil(isQuiet, this.endBy);
   }
 
+  /**
+   * Counts those that are ready against those that are not, as far as the view
+   * reaches: a domain with more daemons than a view holds is spared with care.
+   */
   private canBeSpared(): boolean {
     const {peers, clock, failureDomain} = this.options;
     const now = clock.now();
-    const live = peers
+    const ready = peers
       .live(now)
-      .filter(peer => peer.failureDomain === failureDomain);
-    const restarting = peers
-      .silent(now)
-      .filter(peer => peer.failureDomain === failureDomain)
-      .filter(({aliveAt}) => now - aliveAt < RESTART_MS);
-    const ready = live.filter(({leaving}) => !leaving).length;
-    const all = 1 + live.length + restarting.length;
-    return ready * 2 >= all || all === 1;
+      .filter(peer => peer.failureDomain === failureDomain && !peer.leaving);
+    const out = new Set(
+      [...peers.leaving(now), ...peers.missing(now)].map(
+        ({address}) => address,
+      ),
+    );
+    return out.size === 0 || ready.length > out.size;
   }
 
   private async lookUntil(
--- a/src/index.ts
+++ b/src/index.ts
@@ -88,7 +88,8 @@
 export {CatalogSource, SourceFailure} from './ports/catalog-source.js';
 export {CookieFabric, type CookiePacket} from './ports/cookie-fabric.js';
 export {FleetChannel, type FleetHandlers} from './ports/fleet-channel.js';
-export {PeerAges, type PeerDaemon} from './membership/peer-ages.js';
+export type {PeerDaemon} from './membership/peer-daemon.js';
+export {PeerView} from './membership/peer-view.js';
 export {
   CookieRouter,
   type CookieDecision,
--- /dev/null
+++ b/src/membership/peer-daemon.ts
@@ -0,0 +1,23 @@
+/** A daemon as its peers know it. */
+
+/** Silence after which a peer is not counted on, in milliseconds: five beats. */
+export const LIVE_AGE_MS = 2_500;
+
+/** What one daemon knows of another. */
+export interface PeerDaemon {
+  /** IPv4 address as an unsigned number. */
+  readonly address: number;
+  readonly failureDomain: string;
+  /** Processor share in thousandths of a core. */
+  readonly capacity: number;
+  readonly leaving: boolean;
+  /** The store did not answer it of late. */
+  readonly outOfTouch: boolean;
+  /** Monotonic milliseconds at which it was last known to live. */
+  readonly aliveAt: number;
+}
+
+/** Whether a peer was known to live of late. */
+export function isLive({aliveAt}: PeerDaemon, now: number): boolean {
+  return now - aliveAt <= LIVE_AGE_MS;
+}
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -237,13 +237,16 @@
 
   /** Cuts a daemon off from its peers, or heals the cut. */
   cutFromPeers(name: string, isCut: boolean): void {
-    const own = this.daemonOf(name).settings.address;
-    this.daemons.forEach(({settings}) => {
-      const ways = [`${own}>${settings.address}`, `${settings.address}>${own}`];
-      ways.forEach(way =>
-        isCut ? this.network.cut.add(way) : this.network.cut.delete(way),
-      );
-    });
+    this.daemons.forEach(other => this.cutBetween(name, other.name, isCut));
+  }
+
+  /** Cuts two daemons off from each other, or heals the cut. */
+  cutBetween(name: string, other: string, isCut: boolean): void {
+    const one = this.daemonOf(name).settings.address;
+    const two = this.daemonOf(other).settings.address;
+    [`${one}>${two}`, `${two}>${one}`].forEach(way =>
+      isCut ? this.network.cut.add(way) : this.network.cut.delete(way),
+    );
   }
 
   /** A daemon by name. */
