Who reads the store is found by turns and marks, not by ranking all peers

Cause: each daemon ranked the peers that it held for alive, so in a fleet of 195, where views differ, the wait at the store changed hands 36 times in 24 s, and third daemons read besides. While the store was away every daemon tried by itself.

Ruled out: ranks over a gossiped list of the best candidates. Their ages take seconds to cross a large fleet, and a candidate that lives may still not reach the store; reads themselves are told within some hops, and are the proof that matters.

Change: readers mark their reads in beats; a daemon that knows of fewer than two offers to read when its turn comes, by the logarithm of a hash, and an offer holds the others back. Failures and planned stops are marked too and start the turns anew. Alone, a daemon reads once in three quarters of the limit for a version (before: each 2.3 s). News is passed on at most once in 25 ms. Beats no longer carry capacities and lost touch of peers.

Both readers killed: a version accepted then is in force in 3 s at 30 and 195, with 8 calls or fewer.

--- a/src/adapters/datagram-fleet.spec.ts
+++ b/src/adapters/datagram-fleet.spec.ts
@@ -23,6 +23,7 @@
   serversAgeMs: 2,
   work: [],
   hello: true,
+  reads: [],
 };
 
 function createFleet(address: number) {
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -1,6 +1,7 @@
 /** Catalog records as messages between daemons, and back. */
 import type {
   CatalogUpdate,
+  ReadMark as ReadMarkMessage,
   RouteEntry,
   RouteList,
   ServerEntry,
@@ -8,6 +9,7 @@
 } from '../generated/catalog.js';
 import type {HeldVersions} from '../ports/fleet-channel.js';
 import type {Catalog} from './catalog.js';
+import type {ReadMark} from './read-marks.js';
 import {ServerState, type CatalogServer} from './records.js';
 import type {KnownRoute} from './route-table.js';
 
@@ -24,6 +26,18 @@
   return Math.round(Math.min(LONGEST_SPAN_MS, Math.max(0, to - from)));
 }
 
+/** A reader's mark, with its time as an age. */
+export function encodeMark(mark: ReadMark, now: number): ReadMarkMessage {
+  const {reader, failureDomain, capacity, state, at} = mark;
+  return {reader, failureDomain, capacity, state, ageMs: ageOf(at, now)};
+}
+
+/** The inverse of `encodeMark`. */
+export function decodeMark(message: ReadMarkMessage, now: number): ReadMark {
+  const {reader, failureDomain, capacity, state, ageMs} = message;
+  return {reader, failureDomain, capacity, state, at: now - ageMs};
+}
+
 /** What a daemon that holds these versions lacks. */
 export function updateFor(
   catalog: Catalog,
--- /dev/null
+++ b/src/catalog/read-marks.ts
@@ -0,0 +1,101 @@
+/**
+ * Who reads the store, as one daemon knows it. Readers mark their reads, and the
+ * marks travel with beats. The record is bounded, however many daemons read: of those
+ * that read it keeps the ones that rank first, of the others the newest.
+ */
+import {ReadState} from '../generated/catalog.js';
+import type {Hasher} from '../ports/hasher.js';
+import {orderReaders} from './reader-rank.js';
+
+/** Readers kept at the most: the two that are to read, and as many that may follow. */
+const KEPT_READERS = 4;
+/** Marks kept of daemons that try to read or have ceased to. */
+const KEPT_OTHERS = 4;
+/** Time for which a mark of a daemon that does not read is kept, in milliseconds. */
+const OTHERS_LIFETIME_MS = 10_000;
+/**
+ * Difference in time up to which two marks of one reader are the same, in
+ * milliseconds: ages are told over several hops, and each adds its delay.
+ */
+const DRIFT_MS = 150;
+
+/** How one daemon stands with the store. */
+export interface ReadMark {
+  /** IPv4 address as an unsigned number. */
+  readonly reader: number;
+  readonly failureDomain: string;
+  /** Processor share in thousandths of a core. */
+  readonly capacity: number;
+  readonly state: ReadState;
+  /** When it was so last; monotonic milliseconds. */
+  readonly at: number;
+}
+
+/** The marks that one daemon knows. */
+export class ReadMarks {
+  private readonly marks = new Map<number, ReadMark>();
+
+  private constructor(
+    private readonly hasher: Hasher,
+    /** Time after its last read for which a daemon counts as a reader. */
+    private readonly lifetimeMs: number,
+  ) {}
+
+  /** Creates a record without marks. */
+  static create(hasher: Hasher, lifetimeMs: number): ReadMarks {
+    return new ReadMarks(hasher, lifetimeMs);
+  }
+
+  /**
+   * Takes a mark; returns by how many milliseconds it is newer than what was known of
+   * its reader, 0 if it is not. Another state than was known counts as Infinity.
+   */
+  take(mark: ReadMark, now: number): number {
+    const known = this.marks.get(mark.reader);
+    if (known !== undefined && !isNewer(mark, known)) {
+      return 0;
+    }
+    this.marks.set(mark.reader, mark);
+    this.keepBounded(now);
+    return known?.state === mark.state ? mark.at - known.at : Infinity;
+  }
+
+  /** Daemons that read, the first in rank first. */
+  readers(now: number): ReadMark[] {
+    const reading = [...this.marks.values()].filter(
+      ({state, at}) =>
+        state === ReadState.READ_DONE && now - at <= this.lifetimeMs,
+    );
+    return orderReaders(reading, this.hasher);
+  }
+
+  /** Daemons that have ceased to read, or try to and may not succeed; newest first. */
+  others(now: number): ReadMark[] {
+    return [...this.marks.values()]
+      .filter(
+        ({state, at}) =>
+          state !== ReadState.READ_DONE && now - at <= OTHERS_LIFETIME_MS,
+      )
+      .sort((a, b) => b.at - a.at);
+  }
+
+  private keepBounded(now: number): void {
+    const kept = new Set([
+      ...this.readers(now).slice(0, KEPT_READERS),
+      ...this.others(now).slice(0, KEPT_OTHERS),
+    ]);
+    this.marks.forEach((mark, reader) => {
+      if (!kept.has(mark)) {
+        this.marks.delete(reader);
+      }
+    });
+  }
+}
+
+/** Of two marks of one attempt, the one that says how it ended is newer. */
+function isNewer(mark: ReadMark, known: ReadMark): boolean {
+  if (Math.abs(mark.at - known.at) > DRIFT_MS) {
+    return mark.at > known.at;
+  }
+  return known.state === ReadState.READ_TRYING && mark.state !== known.state;
+}
--- /dev/null
+++ b/src/catalog/read-turns.ts
@@ -0,0 +1,188 @@
+/**
+ * When one daemon reads the store. Two daemons of the fleet wait for events there all
+ * the time, of two failure domains if they can; whoever hears of fewer offers to be
+ * one, in an order that all work out alike, and the offer holds the others back. So
+ * nobody needs to know who else is there, and a fleet of any size makes about as many
+ * calls as two daemons do.
+ *
+ * The pattern answered: readers that are killed, frozen, cut off, slowed down or
+ * turned away by the store, alone or all at once, while a version is accepted.
+ */
+import {ReadState} from '../generated/catalog.js';
+import type {Hasher} from '../ports/hasher.js';
+import {ReadMarks, type ReadMark} from './read-marks.js';
+import {placeOf, type RankedDaemon} from './reader-rank.js';
+
+/** Daemons that wait for events at the store all the time. */
+const READERS = 2;
+
+/**
+ * Shares of the time in which a version has to be in force everywhere. A reader that
+ * was not heard of for the first is replaced, by those that take turns over the
+ * second: at a limit of 3 s that is 2.25 s and half a second, of which the first few
+ * daemons of a fleet of any size use some 0.3 s, and the rest is for the spread.
+ */
+const LIFETIME_SHARE = 0.75;
+const TURNS_SHARE = 1 / 6;
+
+/**
+ * Longest time after its last read for which a daemon counts as a reader, in
+ * milliseconds: one wait for events, the pause after it, and some time for a slow
+ * store and for the news.
+ */
+const LONGEST_LIFETIME_MS = 2_250;
+/** Longest time over which daemons take turns, in milliseconds. */
+const LONGEST_TURNS_MS = 500;
+
+/**
+ * Time for which an offer that has no outcome yet holds others back, in milliseconds:
+ * some seventy usual answers of the store. A store that is silent costs the fleet two
+ * calls a second.
+ */
+const OFFER_MS = 300;
+
+/** Time for which a daemon whose read failed leaves it to others, in milliseconds. */
+const OUT_OF_TOUCH_MS = 4_000;
+
+/** Turns of a daemon of the only other reader's failure domain are later by this. */
+const SAME_DOMAIN_PLACES = 1;
+
+/** Readers told of in one beat. */
+const TOLD_READERS = 2;
+/** Others told of in one beat. */
+const TOLD_OTHERS = 2;
+
+/** What turns are made from. */
+export interface ReadTurnsOptions {
+  readonly self: RankedDaemon;
+  readonly hasher: Hasher;
+  /** Time in which a version has to be in force everywhere, in milliseconds. */
+  readonly inForceLimitMs: number;
+}
+
+/** The turns of one daemon. */
+export class ReadTurns {
+  private readonly marks: ReadMarks;
+  private readonly lifetimeMs: number;
+  private readonly turnsMs: number;
+  private readonly place: number;
+  /** Since when too few readers were known; undefined while there are enough. */
+  private shortSince: number | undefined;
+  private outOfTouchUntil = -Infinity;
+
+  private constructor(private readonly options: ReadTurnsOptions) {
+    const {self, hasher, inForceLimitMs} = options;
+    this.lifetimeMs = Math.min(
+      LONGEST_LIFETIME_MS,
+      inForceLimitMs * LIFETIME_SHARE,
+    );
+    this.marks = ReadMarks.create(hasher, this.lifetimeMs);
+    this.turnsMs = Math.min(LONGEST_TURNS_MS, inForceLimitMs * TURNS_SHARE);
+    this.place = placeOf(self, hasher);
+  }
+
+  /** Creates the turns of a daemon that has heard of no reader. */
+  static create(options: ReadTurnsOptions): ReadTurns {
+    return new ReadTurns(options);
+  }
+
+  /** Takes what was told of another reader; returns what `ReadMarks.take` does. */
+  hear(mark: ReadMark, now: number): number {
+    return mark.reader === this.options.self.reader ? 0 : this.take(mark, now);
+  }
+
+  /** Notes that this daemon has begun a read although it is no reader yet. */
+  noteTry(now: number): void {
+    this.markSelf(ReadState.READ_TRYING, now);
+  }
+
+  /** Notes that this daemon has read, and may be one of the readers now. */
+  noteRead(now: number): void {
+    this.outOfTouchUntil = -Infinity;
+    this.markSelf(ReadState.READ_DONE, now);
+  }
+
+  /** Notes that the store did not answer this daemon. */
+  noteFailure(now: number): void {
+    this.outOfTouchUntil = now + OUT_OF_TOUCH_MS;
+    this.markSelf(ReadState.READ_CEASED, now);
+  }
+
+  /** Notes that this daemon is about to stop; others may take over at once. */
+  noteLeaving(now: number): void {
+    this.outOfTouchUntil = Infinity;
+    this.markSelf(ReadState.READ_CEASED, now);
+  }
+
+  /** Whether this daemon is one of the two that wait for events all the time. */
+  isReader(now: number): boolean {
+    const {reader} = this.options.self;
+    const rank = this.marks
+      .readers(now)
+      .findIndex(mark => mark.reader === reader);
+    return rank >= 0 && rank < READERS;
+  }
+
+  /** Readers that this daemon knows, itself included. */
+  readerCount(now: number): number {
+    return this.marks.readers(now).length;
+  }
+
+  /**
+   * When this daemon has to offer to be a reader, or to look again, if nothing is
+   * heard until then; monotonic milliseconds.
+   */
+  due(now: number): number {
+    const readers = this.marks.readers(now);
+    if (readers.length >= READERS) {
+      this.shortSince = undefined;
+      const nextEnd = Math.min(...readers.slice(0, READERS).map(({at}) => at));
+      return nextEnd + this.lifetimeMs + 1;
+    }
+    this.shortSince ??= now;
+    const {failureDomain} = this.options.self;
+    const isNear = readers[0]?.failureDomain === failureDomain;
+    const place = this.place + (isNear ? SAME_DOMAIN_PLACES : 0);
+    const from = Math.max(this.shortSince, this.heldBackUntil(now));
+    return Math.max(from + place * this.turnsMs, this.outOfTouchUntil);
+  }
+
+  /** When anybody was last heard to read in vain, or to begin; -Infinity: nobody. */
+  lastTryAt(now: number): number {
+    return this.marks.others(now)[0]?.at ?? -Infinity;
+  }
+
+  /** The marks to tell in a beat. */
+  told(now: number): ReadMark[] {
+    return [
+      ...this.marks.readers(now).slice(0, TOLD_READERS),
+      ...this.marks.others(now).slice(0, TOLD_OTHERS),
+    ];
+  }
+
+  /** Until when the newest offer or failure of another daemon holds this one back. */
+  private heldBackUntil(now: number): number {
+    const {reader} = this.options.self;
+    const known = this.marks
+      .others(now)
+      .filter(mark => mark.reader !== reader)
+      .map(({state, at}) =>
+        state === ReadState.READ_TRYING ? at + OFFER_MS : at,
+      );
+    return Math.max(-Infinity, ...known);
+  }
+
+  private markSelf(state: ReadState, at: number): void {
+    this.take({...this.options.self, state, at}, at);
+  }
+
+  /** Takes a mark; a further reader has the turns for what is still missing begin anew. */
+  private take(mark: ReadMark, now: number): number {
+    const before = this.marks.readers(now).length;
+    const gain = this.marks.take(mark, now);
+    if (this.marks.readers(now).length > before) {
+      this.shortSince = now;
+    }
+    return gain;
+  }
+}
--- a/src/catalog/reader-rank.spec.ts
+++ b/src/catalog/reader-rank.spec.ts
@@ -2,61 +2,40 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
-import {rankAmong, type RankedDaemon} from './reader-rank.js';
+import {orderReaders, placeOf, type RankedDaemon} from './reader-rank.js';
 
 const hasher = await XxhashHasher.create();
 
 const FLEET = fc
   .uniqueArray(
     fc.record({
-      address: fc.integer({min: 1, max: 500}),
+      reader: fc.integer({min: 1, max: 500}),
       failureDomain: fc.constantFrom('a', 'b', 'c'),
-      capacity: fc.integer({min: 100, max: 1_350}),
-      leaving: fc.boolean(),
-      outOfTouch: fc.boolean(),
+      capacity: fc.constantFrom(103, 149, 324, 675, 1_350),
     }),
-    {selector: ({address}) => address, minLength: 1, maxLength: 30},
+    {selector: ({reader}) => reader, minLength: 1, maxLength: 30},
   )
   .map((daemons): RankedDaemon[] => daemons);
 
-function ranksOf(fleet: readonly RankedDaemon[]): Map<number, RankedDaemon> {
-  return new Map(
-    fleet.map(daemon => [
-      rankAmong(
-        daemon,
-        fleet.filter(other => other !== daemon),
-        hasher,
-      ),
-      daemon,
-    ]),
-  );
-}
-
-test('daemons with the same view have ranks that differ, from 0 on', () => {
+test('the order holds every daemon once, whatever order they came in', () => {
   fc.assert(
     fc.property(FLEET, fleet => {
-      const ranks = [...ranksOf(fleet).keys()].sort((a, b) => a - b);
-      assert.deepEqual(
-        ranks,
-        fleet.map((_daemon, index) => index),
-      );
+      const ordered = orderReaders(fleet, hasher);
+      assert.deepEqual(orderReaders([...fleet].reverse(), hasher), ordered);
+      assert.equal(ordered.length, fleet.length);
+      assert.deepEqual(new Set(ordered), new Set(fleet));
     }),
     {seed: 4},
   );
 });
 
-test('the first daemon is fit, and the second of another failure domain, where there is one', () => {
+test('the first daemon is ample, and the second of another failure domain, where there is one', () => {
   fc.assert(
     fc.property(FLEET, fleet => {
-      const isFit = ({leaving, outOfTouch}: RankedDaemon) =>
-        !leaving && !outOfTouch;
-      const ranks = ranksOf(fleet);
-      const first = ranks.get(0);
-      const second = ranks.get(1);
-      const fit = fleet.filter(isFit);
-      assert.ok(first !== undefined);
-      assert.equal(isFit(first), fit.length > 0);
-      const elsewhere = fit.some(
+      const [first, second] = orderReaders(fleet, hasher);
+      const isAmple = ({capacity}: RankedDaemon) => capacity >= 300;
+      assert.equal(isAmple(first), fleet.some(isAmple));
+      const elsewhere = fleet.some(
         ({failureDomain}) => failureDomain !== first.failureDomain,
       );
       if (elsewhere) {
@@ -66,3 +45,23 @@
     {seed: 4},
   );
 });
+
+/** Places of a fleet of ample daemons, the first first. */
+function placesOf(daemons: number): number[] {
+  return Array.from({length: daemons}, (_daemon, index) =>
+    placeOf(
+      {reader: 0x0a000001 + index, failureDomain: 'a', capacity: 500},
+      hasher,
+    ),
+  ).sort((a, b) => a - b);
+}
+
+[8, 30, 195, 1_000, 5_606].forEach(daemons =>
+  test(`few of ${daemons} daemons offer to read before the first is heard`, () => {
+    const places = placesOf(daemons);
+    // A twentieth of the turns is 25 ms, enough for the news of an offer.
+    const early = places.filter(place => place - places[0] < 0.05);
+    assert.ok(early.length <= 3, `${early.length}`);
+    assert.ok(places[0] < 0.9, `${places[0]}`);
+  }),
+);
--- a/src/catalog/reader-rank.ts
+++ b/src/catalog/reader-rank.ts
@@ -1,54 +1,72 @@
 /**
- * Who reads the source first. Every daemon ranks the daemons that it knows to
- * live; ranks only set how long a daemon waits for others to read, so views
- * that differ cost reads and nothing else.
+ * The order in which daemons read the store, worked out alike by all of them from
+ * their addresses and processor shares, without knowing each other.
  */
-import type {PeerDaemon} from '../membership/peer-daemon.js';
 import type {Hasher} from '../ports/hasher.js';
 
 const RANK_SEED = 41;
 /** Capacity that a reader should have, in thousandths of a core. */
 const AMPLE_CAPACITY = 300;
+/** Steps by which a daemon without any processor share ranks behind an ample one. */
+const SCARCE_STEPS = 4;
+const HASH_RANGE = 2 ** 32;
+/** Size of a fleet up to which few daemons draw nearly the same place. */
+const LARGEST_FLEET = 10_000;
 
 /** What ranking needs of a daemon. */
-export type RankedDaemon = Pick<
-  PeerDaemon,
-  'address' | 'failureDomain' | 'capacity' | 'leaving' | 'outOfTouch'
->;
+export interface RankedDaemon {
+  /** IPv4 address as an unsigned number. */
+  readonly reader: number;
+  readonly failureDomain: string;
+  /** Processor share in thousandths of a core. */
+  readonly capacity: number;
+}
 
 /**
- * The rank of `self` among itself and its live peers, from 0. Ample daemons come
- * first; the second is of another failure domain than the first if one is.
+ * Daemons in the order of their rank. Ample ones come first, then by hash; the second
+ * is of another failure domain than the first if one is.
  */
-export function rankAmong(
-  self: RankedDaemon,
-  peers: readonly RankedDaemon[],
+export function orderReaders<T extends RankedDaemon>(
+  daemons: readonly T[],
   hasher: Hasher,
-): number {
-  const ordered = [self, ...peers]
+): T[] {
+  const ordered = daemons
     .map(daemon => ({daemon, key: orderOf(daemon, hasher)}))
     .sort((a, b) => a.key - b.key)
     .map(({daemon}) => daemon);
   const [first, ...rest] = ordered;
   const second = rest.find(
-    ({failureDomain, leaving, outOfTouch}) =>
-      failureDomain !== first.failureDomain && !leaving && !outOfTouch,
+    ({failureDomain}) => failureDomain !== first.failureDomain,
   );
-  const ranked =
-    second === undefined
-      ? ordered
-      : [first, second, ...rest.filter(daemon => daemon !== second)];
-  return ranked.findIndex(({address}) => address === self.address);
+  return second === undefined
+    ? ordered
+    : [first, second, ...rest.filter(daemon => daemon !== second)];
 }
 
 /**
- * Sorts daemons that leave or do not reach the store last, scarce ones behind
- * ample ones, then by hash.
+ * A daemon's place in the order in which daemons that do not know each other offer
+ * to read, mostly from 0 to 1, somewhat above for scarce ones. Places are logarithms
+ * of hashes: whether a fleet has 8 daemons or 10,000, its first few places lie apart
+ * alike, by about a tenth, and no matter how many come after them (exponentially
+ * distributed timers, as multicast feedback is suppressed).
  */
+export function placeOf(daemon: RankedDaemon, hasher: Hasher): number {
+  const share = (hashOf(daemon, hasher) + 1) / HASH_RANGE;
+  const place = 1 + Math.log(share) / Math.log(LARGEST_FLEET);
+  return Math.max(0, place) + scarcityOf(daemon) / (2 * SCARCE_STEPS);
+}
+
+/** Sorts scarce daemons behind ample ones, then by hash. */
 function orderOf(daemon: RankedDaemon, hasher: Hasher): number {
-  const hash = hasher.hashText(String(daemon.address), RANK_SEED);
-  const scarce = Math.min(daemon.capacity, AMPLE_CAPACITY) / AMPLE_CAPACITY;
-  const unfit = daemon.leaving || daemon.outOfTouch;
-  const steps = Math.round((1 - scarce) * 4) + (unfit ? 8 : 0);
-  return steps * 2 ** 32 + hash;
+  return scarcityOf(daemon) * HASH_RANGE + hashOf(daemon, hasher);
+}
+
+function hashOf({reader}: RankedDaemon, hasher: Hasher): number {
+  return hasher.hashText(String(reader), RANK_SEED);
+}
+
+/** Whole steps by which a daemon lacks capacity, from 0 to `SCARCE_STEPS`. */
+function scarcityOf({capacity}: RankedDaemon): number {
+  const share = Math.min(capacity, AMPLE_CAPACITY) / AMPLE_CAPACITY;
+  return Math.round((1 - share) * SCARCE_STEPS);
 }
--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -1,10 +1,7 @@
 /**
- * Reads routes and servers from the source when nobody else has of late.
- *
- * The first two daemons wait for events at the source all the time. Another one
- * reads when its copy was confirmed longer ago than its rank allows. Reads of
- * others are told by beats and put its own off, so a fleet of any size makes
- * about as many calls as two daemons, and one that hears of nobody reads alone.
+ * Reads routes and servers from the source. The daemons whose turn it is wait for
+ * events there all the time and tell all others; one that hears of nobody reads
+ * alone, and one whose copy was not confirmed for long reads whoever else does.
  */
 import type {Result} from 'neverthrow';
 import {
@@ -17,21 +14,22 @@
 import type {Log} from '../ports/log.js';
 import type {Random} from '../routing/random.js';
 import type {Catalog} from './catalog.js';
+import type {ReadTurns} from './read-turns.js';
 import type {CatalogEvents} from './records.js';
 
-/** Ranks that wait for events at the source all the time. */
-const WAITING_RANKS = 2;
 /**
- * Length of one wait for events, in milliseconds. It bounds the time for which
- * a connection that lost its other end goes unnoticed.
+ * Length of one wait for events: a share of the limit for a version to be in force,
+ * and the most, in milliseconds. It bounds the time for which a connection that lost
+ * its other end goes unnoticed.
  */
-const EVENT_WAIT_MS = 1_500;
-/** Age of the copy at which the third daemon reads, in milliseconds. */
-const THIRD_READ_MS = 2_300;
-/** Further wait for each rank behind, in milliseconds. */
-const WAIT_A_RANK_MS = 300;
-/** Longest wait for others, in milliseconds; up to half as much is added by chance. */
-const LONGEST_WAIT_MS = 3_500;
+const EVENT_WAIT_SHARE = 1 / 2;
+const LONGEST_EVENT_WAIT_MS = 1_500;
+/**
+ * Age of the copy at which a daemon reads although others do, in milliseconds, if
+ * the limit for a version to be in force is not longer; up to half as much is added
+ * by chance. Its peers' news does not reach it.
+ */
+const LONGEST_UNCONFIRMED_MS = 3_500;
 /**
  * Deadline of a read of everything, in milliseconds: a store that answers in 300 ms
  * gives ten pages. A source that is silent ends the read earlier.
@@ -56,20 +54,12 @@
 /** Time in which events are gathered before the next wait, in milliseconds. */
 const GATHER_MS = 200;
 /**
- * The same at a daemon that hears of nobody: many such daemons may all read by
- * themselves.
- */
-const LONELY_GATHER_MS = 800;
-/**
- * Pause after a failed read while there are peers, in milliseconds: the first
- * figure and as much again for each of them as the second says, so that a large
- * fleet as a whole tries about as often as a small one.
+ * Shares of the limit for a version to be in force. A daemon that hears of nobody
+ * pauses after a read for the first, and waits for events for the second: as many
+ * daemons as a cut divides a fleet into all read by themselves.
  */
-const SHARED_RETRY_MS = 1_500;
-const RETRY_A_PEER_MS = 250;
-const LONGEST_SHARED_RETRY_MS = 4_500;
-/** Time for which a daemon whose read failed ranks behind others, in milliseconds. */
-const OUT_OF_TOUCH_MS = 4_000;
+const LONELY_PAUSE_SHARE = 1 / 2;
+const LONELY_WAIT_SHARE = 1 / 4;
 
 /** What a reader is made from. */
 export interface ReaderOptions {
@@ -78,16 +68,17 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly random: Random;
+  readonly turns: ReadTurns;
   /** Whether the whole fleet starts for the first time. */
   readonly isFirstStart: boolean;
-  /** This daemon's rank among the live ones, from 0. */
-  rank(): number;
-  /** Peers that live. */
-  peerCount(): number;
+  /** Time in which a version has to be in force everywhere, in milliseconds. */
+  readonly inForceLimitMs: number;
+  /** Whether this daemon hears of no other one. */
+  isAlone(): boolean;
   /** Whether a peer is being asked for its copy. */
   isPulling(): boolean;
-  /** Called after each read that succeeded. */
-  onRead(): void;
+  /** Tells the peers at once what the turns and the copy are now. */
+  announce(): void;
 }
 
 /** The reading task of one daemon. */
@@ -96,10 +87,13 @@
   /** The next read takes everything, since events may have been missed. */
   private needsWhole = false;
   private failures = 0;
-  /** Whether its rank has this daemon wait for events all the time. */
+  /** Whether this daemon waits for events all the time. */
   private waitsAtSource = false;
-  private outOfTouchUntil = -Infinity;
+  /** For how long the copy may stay unconfirmed, in milliseconds. */
+  private patienceMs = 0;
   private timer: Timer | undefined;
+  /** Ends the sleep that is under way. */
+  private wake: () => void = () => undefined;
   /** When the first read is due if no peer answers; monotonic milliseconds. */
   private readonly firstReadAt: number;
 
@@ -109,6 +103,7 @@
       ? FIRST_HEAD_START_MS * random.next()
       : PEER_HEAD_START_MS;
     this.firstReadAt = clock.now() + headStart;
+    this.drawPatience();
   }
 
   /** Creates a reader that does nothing until started. */
@@ -116,11 +111,6 @@
     return new CatalogReader(options);
   }
 
-  /** Whether the source did not answer this daemon of late. */
-  isOutOfTouch(): boolean {
-    return this.outOfTouchUntil > this.options.clock.now();
-  }
-
   /** Starts to read; the returned function stops it. */
   start(): () => void {
     void this.readOn();
@@ -131,13 +121,20 @@
     };
   }
 
+  /** Works out anew when to read: there is news of those that do. */
+  lookAgain(): void {
+    this.wake();
+  }
+
   /** Reads for as long as the daemon runs. */
   private async readOn(): Promise<void> {
     while (!this.stopped) {
       await this.sleepUntil(() => this.nextRead());
+      const isFirst = this.options.catalog.stamp.serverRevision === 0;
+      this.noteAttempt();
       const failure = await this.readOnce();
       if (failure === undefined) {
-        this.noteSuccess();
+        this.noteSuccess(isFirst);
         await this.gather();
       } else if (!this.stopped) {
         await this.pauseAfter(failure);
@@ -147,36 +144,70 @@
 
   /** When this daemon has to read, in monotonic milliseconds. */
   private nextRead(): number {
-    const {catalog, random} = this.options;
+    const {catalog, clock, turns} = this.options;
     if (catalog.stamp.serverRevision === 0) {
       return this.options.isPulling()
         ? this.firstReadAt + PULL_PATIENCE_MS
         : this.firstReadAt;
     }
-    const rank = this.options.rank();
-    this.noteRank(rank);
-    if (rank < WAITING_RANKS) {
-      return -Infinity;
-    }
+    const now = clock.now();
+    this.noteTurn(now);
+    return turns.isReader(now) || this.options.isAlone()
+      ? -Infinity
+      : Math.min(turns.due(now), this.unconfirmedUntil);
+  }
+
+  /** Draws anew for how long the copy may stay unconfirmed. */
+  private drawPatience(): void {
+    const {inForceLimitMs, random} = this.options;
+    const longest = Math.max(LONGEST_UNCONFIRMED_MS, inForceLimitMs);
+    this.patienceMs = longest * (1 + random.next() / 2);
+  }
+
+  /**
+   * Until when the copy may do without being confirmed; monotonic milliseconds. While
+   * others are heard to try in vain, their success would be heard of too.
+   */
+  private get unconfirmedUntil(): number {
+    const {catalog, clock, turns} = this.options;
     const {routesConfirmedAt, serversConfirmedAt} = catalog.stamp;
-    const wait = THIRD_READ_MS + (rank - WAITING_RANKS) * WAIT_A_RANK_MS;
-    const bounded =
-      wait < LONGEST_WAIT_MS ? wait : LONGEST_WAIT_MS * (1 + random.next() / 2);
     // While nothing is published, there are no routes to be confirmed.
     const confirmedAt = catalog.isComplete
       ? Math.min(routesConfirmedAt, serversConfirmedAt)
       : serversConfirmedAt;
-    return confirmedAt + bounded;
+    const triedAt = turns.lastTryAt(clock.now());
+    return Math.max(confirmedAt, triedAt) + this.patienceMs;
   }
 
-  /** Logs when this daemon takes up, or gives up, waiting at the source. */
-  private noteRank(rank: number): void {
-    const waits = rank < WAITING_RANKS;
+  /** Logs when this daemon takes up, or gives up, waiting at the source for all. */
+  private noteTurn(now: number): void {
+    const {turns, log} = this.options;
+    const waits = turns.isReader(now);
     if (waits !== this.waitsAtSource) {
       this.waitsAtSource = waits;
-      const peers = this.options.peerCount();
-      this.options.log.info('reader-changed', {waits, rank, peers});
+      log.info('reader-changed', {waits, readers: turns.readerCount(now)});
+    }
+  }
+
+  /** An attempt of a daemon that is no reader is told, so that others hold back. */
+  private noteAttempt(): void {
+    const {catalog, clock, turns} = this.options;
+    const now = clock.now();
+    if (catalog.stamp.serverRevision > 0 && !turns.isReader(now)) {
+      turns.noteTry(now);
+      this.options.announce();
+    }
+  }
+
+  /** How long the next call waits for events, in milliseconds. */
+  private waitMs(now: number): number {
+    const {inForceLimitMs, turns} = this.options;
+    if (this.options.isAlone()) {
+      return inForceLimitMs * LONELY_WAIT_SHARE;
     }
+    return turns.isReader(now)
+      ? Math.min(LONGEST_EVENT_WAIT_MS, inForceLimitMs * EVENT_WAIT_SHARE)
+      : 0;
   }
 
   private async readOnce(): Promise<SourceFailure | undefined> {
@@ -200,8 +231,7 @@
     sentAt: number,
   ): Promise<Result<CatalogEvents, SourceFailure>> {
     const {catalog, source} = this.options;
-    const wait = this.options.rank() < WAITING_RANKS ? EVENT_WAIT_MS : 0;
-    const deadline = sentAt + wait;
+    const deadline = sentAt + this.waitMs(sentAt);
     const {serverRevision} = catalog.stamp;
     return Promise.resolve(source.awaitEvents(serverRevision, deadline));
   }
@@ -232,17 +262,22 @@
     }
   }
 
-  private noteSuccess(): void {
+  /** A first read makes no reader: all daemons may start at once. */
+  private noteSuccess(isFirst: boolean): void {
+    const {log, clock, turns} = this.options;
     if (this.failures > 0) {
-      this.options.log.warn('source-regained', {failures: this.failures});
+      log.warn('source-regained', {failures: this.failures});
     }
     this.failures = 0;
-    this.outOfTouchUntil = -Infinity;
-    this.options.onRead();
+    this.drawPatience();
+    if (!isFirst) {
+      turns.noteRead(clock.now());
+    }
+    this.options.announce();
   }
 
   private async pauseAfter(failure: SourceFailure): Promise<void> {
-    const {clock, log, random} = this.options;
+    const {clock, log, random, turns} = this.options;
     this.needsWhole = true;
     const fields = {kind: failure.kind, cause: failure.message};
     if (failure.kind === SourceFailureKind.HISTORY_LOST) {
@@ -250,7 +285,9 @@
       return;
     }
     this.failures += 1;
-    this.outOfTouchUntil = clock.now() + OUT_OF_TOUCH_MS;
+    this.drawPatience();
+    turns.noteFailure(clock.now());
+    this.options.announce();
     log.warn(
       this.failures === 1 ? 'source-lost' : 'source-read-failed',
       fields,
@@ -259,21 +296,18 @@
     await this.sleepUntil(() => until);
   }
 
-  /** A daemon that has a copy leaves it to its peers to try at once. */
+  /** Pause after a failed read, in milliseconds; with peers the turns decide too. */
   private retryPause(): number {
-    const peers = this.options.peerCount();
-    if (this.options.catalog.isComplete && peers > 0) {
-      const shared = SHARED_RETRY_MS + peers * RETRY_A_PEER_MS;
-      return Math.min(shared, LONGEST_SHARED_RETRY_MS);
-    }
     const doubled = RETRY_MS * 2 ** Math.min(10, this.failures - 1);
     return Math.min(doubled, LONGEST_RETRY_MS);
   }
 
   /** Lets events come together, so that a burst of them takes few calls. */
   private async gather(): Promise<void> {
-    const {clock} = this.options;
-    const pause = this.options.peerCount() > 0 ? GATHER_MS : LONELY_GATHER_MS;
+    const {clock, inForceLimitMs} = this.options;
+    const pause = this.options.isAlone()
+      ? inForceLimitMs * LONELY_PAUSE_SHARE
+      : GATHER_MS;
     const until = clock.now() + pause;
     await this.sleepUntil(() => until);
   }
@@ -287,8 +321,10 @@
         return;
       }
       await new Promise<void>(resolve => {
+        this.wake = resolve;
         this.timer = clock.callAt(deadline, resolve);
       });
+      this.timer?.cancel();
     }
   }
 }
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -12,8 +12,15 @@
 import type {Log} from '../ports/log.js';
 import {formatIpv4} from '../routing/ipv4.js';
 import type {Random} from '../routing/random.js';
-import {ageOf, applyUpdate, updateFor} from './catalog-messages.js';
+import {
+  ageOf,
+  applyUpdate,
+  decodeMark,
+  encodeMark,
+  updateFor,
+} from './catalog-messages.js';
 import type {Catalog} from './catalog.js';
+import type {ReadTurns} from './read-turns.js';
 
 /** Time between two beats, in milliseconds; a fifth of it is by chance. */
 const BEAT_MS = 500;
@@ -32,11 +39,18 @@
 const MAXIMUM_PULLS = 2;
 /** How much younger a read must be for its news to be passed on, in milliseconds. */
 const RELAY_GAIN_MS = 300;
+/**
+ * Time from one relay to the next, in milliseconds; news that comes meanwhile goes
+ * along. It bounds what a daemon sends while many have news at once: 120 beats a
+ * second, some 30 kB.
+ */
+const RELAY_GAP_MS = 25;
 
 /** What the spread is made from. */
 export interface SpreadOptions {
   readonly catalog: Catalog;
   readonly peers: PeerView;
+  readonly turns: ReadTurns;
   readonly channel: FleetChannel;
   readonly clock: Clock;
   readonly log: Log;
@@ -50,6 +64,8 @@
    * anything; only servers that are silent are to be told.
    */
   workToTell(isLarge: boolean): ServerWork[];
+  /** Told when another daemon begins to read the source, or ceases to. */
+  onTurns(): void;
   /** Takes the work that a peer told. */
   onWork(sender: number, work: readonly ServerWork[]): void;
 }
@@ -58,6 +74,10 @@
 export class CatalogSpread {
   private timer: Timer | undefined;
   private round = 0;
+  /** Set while news waits to be passed on. */
+  private relayTimer: Timer | undefined;
+  /** Monotonic milliseconds at which news was last passed on. */
+  private relayedAt = -Infinity;
   /** Addresses of the peers that are being asked. */
   private readonly pulls = new Set<number>();
 
@@ -78,6 +98,7 @@
     this.tick();
     return () => {
       this.timer?.cancel();
+      this.relayTimer?.cancel();
       void channel.close();
     };
   }
@@ -120,20 +141,23 @@
 
   /**
    * The beats of one round. Peers that owe an answer are greeted, and in a large fleet
-   * one that is near: so each daemon is asked by another one twice a second or so, and
-   * one that has ended is found out although few daemons know it.
+   * the near one that was not heard of for longest: so a daemon that has ended is
+   * found out before news of others crowds it out of the views that hold it.
    */
   private beatAndGreet(): void {
     const {peers, clock} = this.options;
     const now = clock.now();
     const receivers = this.receivers();
-    const asked = this.isLarge() ? receivers.slice(0, 1) : [];
+    const asked = this.isLarge() ? this.oldestNearPeers(1) : [];
     const greeted = new Map(
       [...peers.toGreet(now), ...asked].map(peer => [peer.address, peer]),
     );
     greeted.forEach(peer => peers.noteGreeted(peer, now));
     this.sendToAll([...greeted.values()], true);
-    const others = receivers.filter(({address}) => !greeted.has(address));
+    // A greeting takes the place of one beat.
+    const others = receivers
+      .slice(asked.length)
+      .filter(({address}) => !greeted.has(address));
     this.sendToAll(others, false);
   }
 
@@ -166,6 +190,13 @@
     return [...peers.sample(near, NEAR_FAN_OUT), ...peers.sample(live, 1)];
   }
 
+  /** Live peers of the own failure domain that were not heard of for longest. */
+  private oldestNearPeers(count: number): PeerDaemon[] {
+    return this.nearPeers()
+      .sort((a, b) => a.aliveAt - b.aliveAt)
+      .slice(0, count);
+  }
+
   /** Live peers of the own failure domain. */
   private nearPeers(): PeerDaemon[] {
     const {peers, clock} = this.options;
@@ -195,7 +226,7 @@
 
   /** What this daemon tells now; a beat with `hello` is answered at once. */
   private beat(hello: boolean): Beat {
-    const {catalog, peers, clock} = this.options;
+    const {catalog, peers, turns, clock} = this.options;
     const now = clock.now();
     const {stamp} = catalog;
     return {
@@ -208,6 +239,7 @@
       serversAgeMs: ageOf(stamp.serversConfirmedAt, now),
       work: this.options.workToTell(this.isLarge()),
       hello,
+      reads: turns.told(now).map(mark => encodeMark(mark, now)),
     };
   }
 
@@ -219,7 +251,7 @@
     }
     beat.peers.forEach(told => peers.merge(told, now));
     this.options.onWork(sender, beat.work);
-    const gain = this.confirm(beat, now);
+    const gain = Math.max(this.confirm(beat, now), this.takeMarks(beat, now));
     if (this.isNewer(beat)) {
       const {serverRevision} = this.options.catalog.stamp;
       void this.pull(sender, beat.serverRevision === serverRevision);
@@ -269,6 +301,18 @@
     );
   }
 
+  /** Takes what a beat says of readers; returns what is the greatest news of it. */
+  private takeMarks(beat: Beat, now: number): number {
+    const {turns} = this.options;
+    const gains = beat.reads
+      .map(mark => decodeMark(mark, now))
+      .map(mark => turns.hear(mark, now));
+    if (gains.includes(Infinity)) {
+      this.options.onTurns();
+    }
+    return Math.max(0, ...gains);
+  }
+
   private isNewer(beat: Beat): boolean {
     const {stamp} = this.options.catalog;
     const newerRoutes = beat.routeVersion > stamp.routeVersion;
@@ -314,9 +358,24 @@
 
   /** Passes news on, where beats do not reach everyone by themselves. */
   private relay(): void {
-    if (this.isLarge()) {
-      this.announce();
+    if (!this.isLarge() || this.relayTimer !== undefined) {
+      return;
+    }
+    const {clock} = this.options;
+    const wait = this.relayedAt + RELAY_GAP_MS - clock.now();
+    if (wait <= 0) {
+      this.relayNow();
+      return;
     }
+    this.relayTimer = clock.callAt(clock.now() + wait, () => {
+      this.relayTimer = undefined;
+      this.relayNow();
+    });
+  }
+
+  private relayNow(): void {
+    this.relayedAt = this.options.clock.now();
+    this.announce();
   }
 
   private isLarge(): boolean {
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -107,7 +107,7 @@
   world.killDaemon('d0');
   world.killDaemon('d1');
   await world.startDaemon('d0');
-  await world.clock.advance(12_000);
+  await world.clock.advance(LONG_CALL_MS);
   assert.deepEqual(world.broken, []);
   assert.equal(world.tally.ends.answered, callers.length);
 });
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -3,7 +3,7 @@
  * all others where their cookies say, and shares a catalog with its peers.
  */
 import {Catalog, type CatalogChange} from '../catalog/catalog.js';
-import {rankAmong} from '../catalog/reader-rank.js';
+import {ReadTurns} from '../catalog/read-turns.js';
 import {CatalogReader} from '../catalog/reader.js';
 import {CatalogSpread} from '../catalog/spread.js';
 import type {PeerAge} from '../generated/catalog.js';
@@ -53,6 +53,7 @@
   private readonly placement: Placement;
   private readonly router: CookieRouter;
   private readonly spread: CatalogSpread;
+  private readonly turns: ReadTurns;
   private readonly reader: CatalogReader;
   private readonly stops: Array<() => void> = [];
   private seeds: readonly number[];
@@ -71,6 +72,7 @@
     this.work = ServerWorkLedger.create(hasher);
     this.placement = options.placement ?? OwnWorkPlacement.create();
     this.router = this.createRouter();
+    this.turns = this.createTurns();
     this.spread = this.createSpread();
     this.reader = this.createReader();
   }
@@ -152,6 +154,7 @@
     log.warn('stopping', this.versions());
     await stop.awaitTurn();
     this.isLeaving = true;
+    this.turns.noteLeaving(clock.now());
     log.warn('leaving', this.versions());
     this.spread.announce();
     await stop.awaitQuiet();
@@ -190,11 +193,22 @@
     });
   }
 
+  private createTurns(): ReadTurns {
+    const {settings, hasher} = this.options;
+    const {address, failureDomain, capacity, inForceLimitMs} = settings;
+    return ReadTurns.create({
+      self: {reader: address, failureDomain, capacity},
+      hasher,
+      inForceLimitMs,
+    });
+  }
+
   private createSpread(): CatalogSpread {
     const {channel, clock, log, random} = this.options;
     return CatalogSpread.create({
       catalog: this.catalog,
       peers: this.peers,
+      turns: this.turns,
       channel,
       clock,
       log,
@@ -203,6 +217,7 @@
       self: () => this.self(),
       workToTell: isLarge =>
         this.work.toTell(clock.now(), isLarge || !this.placement.usesPeerWork),
+      onTurns: () => this.reader.lookAgain(),
       onWork: (sender, work) => this.work.receive(sender, work, clock.now()),
     });
   }
@@ -215,31 +230,19 @@
       clock,
       log,
       random,
+      turns: this.turns,
       isFirstStart: settings.isFirstStart,
-      rank: () => this.rank(),
-      peerCount: () => this.peers.live(clock.now()).length,
+      inForceLimitMs: settings.inForceLimitMs,
+      isAlone: () => this.peers.live(clock.now()).length === 0,
       isPulling: () => this.spread.isPulling,
-      onRead: () => this.spread.announce(),
+      announce: () => this.spread.announce(),
     });
   }
 
   /** This daemon as its peers are to know it. */
   private self(): PeerAge {
-    const {address, failureDomain, capacity} = this.options.settings;
-    return {
-      address,
-      failureDomain,
-      capacity,
-      leaving: this.isLeaving,
-      outOfTouch: this.reader.isOutOfTouch(),
-      ageMs: 0,
-    };
-  }
-
-  /** This daemon's place among those that may read the source. */
-  private rank(): number {
-    const {clock, hasher} = this.options;
-    return rankAmong(this.self(), this.peers.live(clock.now()), hasher);
+    const {address, failureDomain} = this.options.settings;
+    return {address, failureDomain, leaving: this.isLeaving, ageMs: 0};
   }
 
   /** Forwards or refuses a packet; only openings and refusals are logged. */
--- a/src/entry/large-fleet.spec.ts
+++ b/src/entry/large-fleet.spec.ts
@@ -32,15 +32,93 @@
   );
 }
 
+/** Daemons that wait at the store, by their own last word on it. */
+function readersOf(world: CookieWorld): string[] {
+  const waits = new Map<string, boolean>();
+  world.lines
+    .filter(({event}) => event === 'reader-changed')
+    .forEach(({process, fields}) =>
+      waits.set(process, fields['waits'] === true),
+    );
+  return [...waits.keys()].filter(name => waits.get(name) === true);
+}
+
 [30, 88, 195, 300].forEach(daemons =>
-  test(`none of ${daemons} daemons that all live is told as lost`, async () => {
+  test(`of ${daemons} daemons that all live none is told as lost, and two read the store`, async () => {
     const world = await createFleet(daemons);
+    const callsBefore = world.store.calls;
     await world.clock.advance(CALM_MS);
     const lost = world.lines.filter(({event}) => event === 'peer-lost');
     assert.equal(lost.length, 0);
+    assert.equal(readersOf(world).length, 2);
+    // Two daemons, each a call in 1.7 s, whatever the fleet.
+    assert.ok(world.store.calls - callsBefore <= 26, `${world.store.calls}`);
+  }),
+);
+
+[30, 195].forEach(daemons =>
+  test(`of ${daemons} daemons few take over when both readers end, and in time`, async () => {
+    const world = await createFleet(daemons);
+    await world.clock.advance(1_000);
+    readersOf(world).forEach(name => world.killDaemon(name));
+    world.publish([ROUTE]);
+    const callsBefore = world.store.calls;
+    await world.clock.advance(BOUNDS.configurationMs);
+    assert.deepEqual([...versionsOf(world)], [2]);
+    assert.ok(
+      world.store.calls - callsBefore <= 8,
+      `${world.store.calls - callsBefore} calls`,
+    );
+  }),
+);
+
+[OutageKind.REFUSED, OutageKind.SILENT, OutageKind.BUSY].forEach(kind =>
+  test(`a store that is away (${kind}) is asked by few of 195 daemons, and its return is seen within 2 s`, async () => {
+    const world = await createFleet(195);
+    world.store.outages.set('', kind);
+    const callsBefore = world.store.calls;
+    await world.clock.advance(10_000);
+    const calls = world.store.calls - callsBefore;
+    assert.ok(calls <= 60, `${calls} calls in 10 s`);
+    world.store.outages.clear();
+    world.publish([ROUTE]);
+    await world.clock.advance(2_000);
+    assert.deepEqual([...versionsOf(world)], [2]);
   }),
 );
 
+test('a store that turns a third of 195 daemons away is read by others, in time', async () => {
+  const world = await createFleet(195);
+  const names = [...world.daemons.keys()];
+  const readers = new Set(readersOf(world));
+  names
+    .filter((name, index) => index % 3 === 0 || readers.has(name))
+    .forEach(name => world.store.outages.set(name, OutageKind.SILENT));
+  const callsBefore = world.store.calls;
+  for (let round = 0; round < 4; round += 1) {
+    world.publish([ROUTE]);
+    await world.clock.advance(BOUNDS.configurationMs);
+    assert.deepEqual([...versionsOf(world)], [2 + round]);
+  }
+  const calls = world.store.calls - callsBefore;
+  assert.ok(calls <= 60, `${calls} calls in 12 s`);
+});
+
+test('daemons that hear of nobody read by themselves, once in three quarters of the limit', async () => {
+  const world = await createFleet(30);
+  const names = [...world.daemons.keys()];
+  const cut = names.slice(0, 10);
+  cut.forEach(name => world.cutFromPeers(name, true));
+  await world.clock.advance(4_000);
+  const callsBefore = world.store.calls;
+  world.publish([ROUTE]);
+  await world.clock.advance(BOUNDS.configurationMs);
+  assert.deepEqual([...versionsOf(world)], [2]);
+  await world.clock.advance(9_000 - BOUNDS.configurationMs);
+  const calls = world.store.calls - callsBefore;
+  assert.ok(calls <= 10 * 5 + 12, `${calls} calls in 9 s`);
+});
+
 /** What daemons told of peers since a line, as "who told: of whom". */
 function lostSince(world: CookieWorld, firstLine: number): string[] {
   return world.lines
--- a/src/entry/planned-stop.spec.ts
+++ b/src/entry/planned-stop.spec.ts
@@ -30,9 +30,7 @@
         address,
         ageMs: 0,
         failureDomain: 'a',
-        capacity: 500,
         leaving,
-        outOfTouch: false,
       },
       clock.now(),
     );
--- a/src/membership/peer-daemon.ts
+++ b/src/membership/peer-daemon.ts
@@ -8,11 +8,7 @@
   /** IPv4 address as an unsigned number. */
   readonly address: number;
   readonly failureDomain: string;
-  /** Processor share in thousandths of a core. */
-  readonly capacity: number;
   readonly leaving: boolean;
-  /** The store did not answer it of late. */
-  readonly outOfTouch: boolean;
   /** Monotonic milliseconds at which it was last known to live. */
   readonly aliveAt: number;
 }
--- a/src/membership/peer-view.spec.ts
+++ b/src/membership/peer-view.spec.ts
@@ -19,9 +19,7 @@
     address,
     ageMs,
     failureDomain,
-    capacity: 500,
     leaving,
-    outOfTouch: false,
   };
 }
 
--- a/src/membership/peer-view.ts
+++ b/src/membership/peer-view.ts
@@ -36,7 +36,7 @@
 /** Lost peers that are kept, to be greeted until a cut heals. */
 const LOST_PEERS = 32;
 
-/** Peers that one beat tells of; bounds its size at 8 * 30 bytes. */
+/** Peers that one beat tells of; bounds its size at 8 * 25 bytes. */
 const TOLD_IN_A_BEAT = 8;
 /** How many of these may be peers that leave. */
 const TOLD_LEAVING = 4;
@@ -72,7 +72,7 @@
    * to a view that has room for all.
    */
   merge(told: PeerAge, now: number): boolean {
-    const {address, failureDomain, capacity, leaving, outOfTouch} = told;
+    const {address, failureDomain, leaving} = told;
     const aliveAt = now - told.ageMs;
     const known = this.peers.get(address) ?? this.lost.get(address);
     const isOutdated = known !== undefined && known.aliveAt >= aliveAt;
@@ -80,14 +80,7 @@
     if (isSelf || isOutdated || told.ageMs > FORGET_AGE_MS) {
       return false;
     }
-    const peer = {
-      address,
-      failureDomain,
-      capacity,
-      leaving,
-      outOfTouch,
-      aliveAt,
-    };
+    const peer = {address, failureDomain, leaving, aliveAt};
     const isBack = this.lost.delete(address);
     const isNew = !this.isPartial && !this.peers.has(address);
     this.put(peer);
@@ -156,9 +149,7 @@
       address: peer.address,
       ageMs: Math.round(now - peer.aliveAt),
       failureDomain: peer.failureDomain,
-      capacity: peer.capacity,
       leaving: peer.leaving,
-      outOfTouch: peer.outOfTouch,
     }));
   }
 
