Starts take an old state of the store, and first starts take turns

Ruled out: waiting longer for peers.

Change: a start reads an old state, at a tenth of the price; it forwards by it, confirms nothing, refuses nothing aloud. A trial showed that the store's old reads name the revision of the state they show, so events since then bring a copy up to date. In a first start daemons take turns over 3 s by their place. While an old read is under way a peer's copy is asked for only after 100 ms.

New tests: all start from a copy 5 s old and hold the newest within 1 s; an old copy refuses nothing aloud; forgotten history; a store that is away.

--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -2,6 +2,7 @@
  * One daemon's copy of routes and backend servers. Versions only grow: an older
  * listing than the one held changes nothing.
  */
+import type {CatalogReading} from '../ports/catalog-source.js';
 import type {Hasher} from '../ports/hasher.js';
 import {destinationKey} from '../routing/flow-key.js';
 import {CookieIndex} from './cookie-index.js';
@@ -160,8 +161,12 @@
    * Takes a version of the routes that a read at `confirmedAt` (monotonic
    * milliseconds) showed to be the newest. An older version changes nothing.
    */
-  takeRoutes(listing: RouteListing, confirmedAt: number): void {
-    if (!this.routes.take(listing, confirmedAt)) {
+  takeRoutes(
+    listing: RouteListing,
+    confirmedAt: number,
+    changedAt = confirmedAt,
+  ): void {
+    if (!this.routes.take(listing, confirmedAt, changedAt)) {
       return;
     }
     this.cookieMasks.clear();
@@ -195,6 +200,17 @@
     this.apply(listing.servers, removed, listing.revision, confirmedAt);
   }
 
+  /**
+   * Takes everything as it was some time before `readAt` (monotonic milliseconds), and
+   * confirms nothing: a daemon that starts may forward by it, and refuses nothing aloud.
+   */
+  takeOld(reading: CatalogReading, readAt: number): void {
+    this.takeServers(reading.servers, -Infinity);
+    if (reading.routes !== undefined) {
+      this.takeRoutes(reading.routes, -Infinity, readAt);
+    }
+  }
+
   /** Takes what the store reported since the revision that is held. */
   takeEvents(events: CatalogEvents, confirmedAt: number): void {
     const {written, removed, revision} = events;
--- a/src/catalog/read-turns.ts
+++ b/src/catalog/read-turns.ts
@@ -65,7 +65,8 @@
   private readonly marks: ReadMarks;
   private readonly lifetimeMs: number;
   private readonly turnsMs: number;
-  private readonly place: number;
+  /** This daemon's place in the order of offers, mostly from 0 to 1. */
+  readonly place: number;
   /** Since when too few readers were known; undefined while there are enough. */
   private shortSince: number | undefined;
   private outOfTouchUntil = -Infinity;
--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -38,19 +38,29 @@
 /** First pause after a failed read, in milliseconds; doubles up to the longest. */
 const RETRY_MS = 200;
 const LONGEST_RETRY_MS = 1_200;
+/**
+ * Time over which daemons take turns to read when the fleet starts for the first time,
+ * in milliseconds: callers come seconds later, and what one reads all others pull.
+ */
+const FIRST_TURNS_MS = 3_000;
 /**
  * Head start of the peers' answers over a starting daemon's own read, in
  * milliseconds: a few round trips between failure domains and the peer's work. It is
  * short, since all daemons lose it when all of them start.
  */
 const PEER_HEAD_START_MS = 10;
-/**
- * Longest head start when the fleet starts for the first time, in milliseconds:
- * callers come seconds later, and a fleet that reads at once reads in vain.
- */
-const FIRST_HEAD_START_MS = 5_000;
 /** Longest wait for a pull that is under way, in milliseconds. */
 const PULL_PATIENCE_MS = 200;
+/**
+ * Time after which a starting daemon asks its peers besides the source for a copy, in
+ * milliseconds: 25 usual answers of the source.
+ */
+const COPY_PATIENCE_MS = 100;
+/**
+ * Pause after the old copy that a daemon starts with, in milliseconds. Peers bring the
+ * copy up to date meanwhile; one that hears of nobody then reads by itself.
+ */
+const START_PAUSE_MS = 500;
 /** Time in which events are gathered before the next wait, in milliseconds. */
 const GATHER_MS = 200;
 /**
@@ -96,13 +106,20 @@
   private wake: () => void = () => undefined;
   /** When the first read is due if no peer answers; monotonic milliseconds. */
   private readonly firstReadAt: number;
+  /** Whether an old copy is good enough for the first read. */
+  private startsFromOld: boolean;
+  /** When the old copy was asked for that has not come yet; monotonic milliseconds. */
+  private oldReadSentAt: number | undefined;
+  /** When a read last succeeded; monotonic milliseconds. */
+  private readAt = -Infinity;
 
   private constructor(private readonly options: ReaderOptions) {
-    const {clock, random, isFirstStart} = options;
-    const headStart = isFirstStart
-      ? FIRST_HEAD_START_MS * random.next()
+    const {clock, turns, isFirstStart} = options;
+    const wait = isFirstStart
+      ? FIRST_TURNS_MS * turns.place
       : PEER_HEAD_START_MS;
-    this.firstReadAt = clock.now() + headStart;
+    this.firstReadAt = clock.now() + wait;
+    this.startsFromOld = !isFirstStart;
     this.drawPatience();
   }
 
@@ -121,6 +138,16 @@
     };
   }
 
+  /**
+   * Until when a first copy is expected from the source; monotonic milliseconds. The
+   * same copy from a peer costs a starting daemon more than it gains.
+   */
+  get copyExpectedUntil(): number {
+    return this.oldReadSentAt === undefined
+      ? -Infinity
+      : this.oldReadSentAt + COPY_PATIENCE_MS;
+  }
+
   /** Works out anew when to read: there is news of those that do. */
   lookAgain(): void {
     this.wake();
@@ -135,7 +162,7 @@
       const failure = await this.readOnce();
       if (failure === undefined) {
         this.noteSuccess(isFirst);
-        await this.gather();
+        await this.pauseAfterRead(isFirst);
       } else if (!this.stopped) {
         await this.pauseAfter(failure);
       }
@@ -176,7 +203,7 @@
       ? Math.min(routesConfirmedAt, serversConfirmedAt)
       : serversConfirmedAt;
     const triedAt = turns.lastTryAt(clock.now());
-    return Math.max(confirmedAt, triedAt) + this.patienceMs;
+    return Math.max(confirmedAt, triedAt, this.readAt) + this.patienceMs;
   }
 
   /** Logs when this daemon takes up, or gives up, waiting at the source for all. */
@@ -213,12 +240,11 @@
   private async readOnce(): Promise<SourceFailure | undefined> {
     const {catalog, clock} = this.options;
     const sentAt = clock.now();
+    if (catalog.stamp.serverRevision === 0 && this.startsFromOld) {
+      return this.readOld(sentAt);
+    }
     if (this.needsWhole || catalog.stamp.serverRevision === 0) {
-      const reading = await this.options.source.readAll(sentAt + READ_LIMIT_MS);
-      return reading.match(
-        read => this.takeAll(read, sentAt),
-        failure => failure,
-      );
+      return this.readAll(sentAt);
     }
     const events = await this.awaitEvents(sentAt);
     return events.match(
@@ -227,6 +253,33 @@
     );
   }
 
+  /**
+   * Reads what a daemon starts with. All daemons of a fleet may start at once, and an
+   * old copy costs a tenth; one of them, or peers that kept running, bring the news.
+   */
+  private async readOld(sentAt: number): Promise<SourceFailure | undefined> {
+    const {catalog, source} = this.options;
+    this.oldReadSentAt = sentAt;
+    const reading = await source.readOld(sentAt + READ_LIMIT_MS);
+    this.oldReadSentAt = undefined;
+    return reading.match(
+      read => {
+        catalog.takeOld(read, sentAt);
+        this.startsFromOld = false;
+        return undefined;
+      },
+      failure => failure,
+    );
+  }
+
+  private async readAll(sentAt: number): Promise<SourceFailure | undefined> {
+    const reading = await this.options.source.readAll(sentAt + READ_LIMIT_MS);
+    return reading.match(
+      read => this.takeAll(read, sentAt),
+      failure => failure,
+    );
+  }
+
   private awaitEvents(
     sentAt: number,
   ): Promise<Result<CatalogEvents, SourceFailure>> {
@@ -269,6 +322,7 @@
       log.warn('source-regained', {failures: this.failures});
     }
     this.failures = 0;
+    this.readAt = clock.now();
     this.drawPatience();
     if (!isFirst) {
       turns.noteRead(clock.now());
@@ -303,15 +357,20 @@
   }
 
   /** Lets events come together, so that a burst of them takes few calls. */
-  private async gather(): Promise<void> {
-    const {clock, inForceLimitMs} = this.options;
-    const pause = this.options.isAlone()
-      ? inForceLimitMs * LONELY_PAUSE_SHARE
-      : GATHER_MS;
-    const until = clock.now() + pause;
+  private async pauseAfterRead(isFirst: boolean): Promise<void> {
+    const until = this.options.clock.now() + this.pauseMs(isFirst);
     await this.sleepUntil(() => until);
   }
 
+  private pauseMs(isFirst: boolean): number {
+    if (isFirst) {
+      return START_PAUSE_MS;
+    }
+    return this.options.isAlone()
+      ? this.options.inForceLimitMs * LONELY_PAUSE_SHARE
+      : GATHER_MS;
+  }
+
   /** Sleeps until the time that `due` gives, which may move meanwhile. */
   private async sleepUntil(due: () => number): Promise<void> {
     const {clock} = this.options;
--- a/src/catalog/route-table.ts
+++ b/src/catalog/route-table.ts
@@ -61,9 +61,14 @@
 
   /**
    * Takes a version that a read at `confirmedAt` (monotonic milliseconds) showed to be
-   * the newest; true if it is newer than the one held. An older one changes nothing.
+   * the newest, or that was the newest some time before `changedAt`; true if it is newer
+   * than the one held. An older one changes nothing.
    */
-  take(listing: RouteListing, confirmedAt: number): boolean {
+  take(
+    listing: RouteListing,
+    confirmedAt: number,
+    changedAt = confirmedAt,
+  ): boolean {
     if (listing.version < this.newestVersion) {
       return false;
     }
@@ -72,7 +77,7 @@
       return false;
     }
     this.newestVersion = listing.version;
-    this.changedAt = confirmedAt;
+    this.changedAt = changedAt;
     this.routes.clear();
     listing.routes.forEach(route => this.put(route));
     return true;
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -64,6 +64,8 @@
    * anything; only servers that are silent are to be told.
    */
   workToTell(isLarge: boolean): ServerWork[];
+  /** Until when a first copy is expected from the source; monotonic milliseconds. */
+  copyExpectedUntil(): number;
   /** Told when another daemon begins to read the source, or ceases to. */
   onTurns(): void;
   /** Takes the work that a peer told. */
@@ -253,8 +255,7 @@
     this.options.onWork(sender, beat.work);
     const gain = Math.max(this.confirm(beat, now), this.takeMarks(beat, now));
     if (this.isNewer(beat)) {
-      const {serverRevision} = this.options.catalog.stamp;
-      void this.pull(sender, beat.serverRevision === serverRevision);
+      void this.pullWhatIsNewer(sender, beat);
     } else if (gain > RELAY_GAIN_MS) {
       this.relay();
     }
@@ -326,12 +327,34 @@
     return newerRoutes || newerServers;
   }
 
-  private async pull(sender: number, isWhole: boolean): Promise<void> {
-    const {catalog, channel, clock, log} = this.options;
+  /** Pulls what a beat told of, unless it comes from the source meanwhile. */
+  private async pullWhatIsNewer(sender: number, beat: Beat): Promise<void> {
     if (this.pulls.has(sender) || this.pulls.size >= MAXIMUM_PULLS) {
       return;
     }
     this.pulls.add(sender);
+    await this.awaitCopy();
+    if (this.isNewer(beat)) {
+      const {serverRevision} = this.options.catalog.stamp;
+      await this.pull(sender, beat.serverRevision === serverRevision);
+    }
+    this.pulls.delete(sender);
+  }
+
+  /** Waits while a first copy is expected from the source. */
+  private async awaitCopy(): Promise<void> {
+    const {clock} = this.options;
+    const until = this.options.copyExpectedUntil();
+    if (until > clock.now()) {
+      await new Promise<void>(resolve => {
+        clock.callAt(until, resolve);
+        this.options.catalog.onChange(() => resolve());
+      });
+    }
+  }
+
+  private async pull(sender: number, isWhole: boolean): Promise<void> {
+    const {catalog, channel, clock, log} = this.options;
     const {stamp} = catalog;
     const update = await channel.pull(
       sender,
@@ -342,7 +365,6 @@
       },
       clock.now() + PULL_LIMIT_MS,
     );
-    this.pulls.delete(sender);
     update.match(
       taken => {
         applyUpdate(catalog, taken, clock.now());
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -217,6 +217,7 @@
       self: () => this.self(),
       workToTell: isLarge =>
         this.work.toTell(clock.now(), isLarge || !this.placement.usesPeerWork),
+      copyExpectedUntil: () => this.reader.copyExpectedUntil,
       onTurns: () => this.reader.lookAgain(),
       onWork: (sender, work) => this.work.receive(sender, work, clock.now()),
     });
--- a/src/entry/large-fleet.spec.ts
+++ b/src/entry/large-fleet.spec.ts
@@ -104,6 +104,19 @@
   assert.ok(calls <= 60, `${calls} calls in 12 s`);
 });
 
+test('195 daemons that all start for the first time, and all start again, ask the store a few times', async () => {
+  const world = await createFleet(195);
+  assert.ok(world.store.calls <= 20, `${world.store.calls} at first`);
+  const names = [...world.daemons.keys()];
+  names.forEach(name => world.killDaemon(name));
+  await world.clock.advance(1_000);
+  const callsBefore = world.store.calls;
+  await Promise.all(names.map(name => world.startDaemon(name)));
+  await world.clock.advance(3_000);
+  const calls = world.store.calls - callsBefore;
+  assert.ok(calls <= 10, `${calls} at the second start`);
+});
+
 test('daemons that hear of nobody read by themselves, once in three quarters of the limit', async () => {
   const world = await createFleet(30);
   const names = [...world.daemons.keys()];
--- /dev/null
+++ b/src/entry/start.spec.ts
@@ -0,0 +1,105 @@
+/** Starts from an old copy: what it may do, and how it is brought up to date. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {XxhashHasher} from '../adapters/xxhash-hasher.js';
+import {OutageKind} from '../../standins/catalog-store.js';
+import {CookieWorld} from '../../standins/cookie-world.js';
+
+const BOUNDS = {drainMs: 3_000, configurationMs: 3_000};
+const PAY = {
+  address: 0xc6120001,
+  port: 443,
+  shares: [{service: 'pay', weight: 1}],
+};
+const DOCS = {
+  address: 0xc6120002,
+  port: 443,
+  shares: [{service: 'docs', weight: 1}],
+};
+/** How far the store's old reads lie back, in milliseconds. */
+const LAG_MS = 5_000;
+
+/** A fleet whose daemons all have been killed. */
+async function createKilledFleet(daemons: number): Promise<CookieWorld> {
+  const world = await CookieWorld.create(
+    {
+      seed: 1,
+      daemons,
+      failureDomains: ['a', 'b', 'c'],
+      services: [
+        {name: 'pay', servers: 6, slots: 2, workMs: 20},
+        {name: 'docs', servers: 3, slots: 2, workMs: 10},
+      ],
+      routes: [PAY],
+      bounds: BOUNDS,
+    },
+    await XxhashHasher.create(),
+  );
+  world.store.lagMs = LAG_MS;
+  world.publish([PAY, DOCS]);
+  [...world.daemons.keys()].forEach(name => world.killDaemon(name));
+  await world.clock.advance(500);
+  return world;
+}
+
+async function startAll(world: CookieWorld): Promise<void> {
+  const names = [...world.daemons.keys()];
+  await Promise.all(names.map(name => world.startDaemon(name)));
+}
+
+function versionsOf(world: CookieWorld): number[] {
+  return [...world.daemons.values()].map(
+    ({running}) => running?.catalog.stamp.routeVersion ?? 0,
+  );
+}
+
+[3, 60].forEach(daemons =>
+  test(`${daemons} daemons that all start from an old copy serve at once, and soon by the newest`, async () => {
+    const world = await createKilledFleet(daemons);
+    const callsBefore = world.store.calls;
+    await startAll(world);
+    await world.clock.advance(25);
+    assert.deepEqual(new Set(versionsOf(world)), new Set([1]));
+    await world.clock.advance(1_000);
+    assert.deepEqual(new Set(versionsOf(world)), new Set([2]));
+    assert.ok(
+      world.store.calls - callsBefore <= 5,
+      `${world.store.calls - callsBefore} calls`,
+    );
+    assert.equal(world.store.oldReads, daemons);
+  }),
+);
+
+test('a daemon with an old copy forwards by it, and refuses nothing aloud', async () => {
+  const world = await createKilledFleet(1);
+  await startAll(world);
+  await world.clock.advance(25);
+  const known = world.call(PAY, 1, 3_000);
+  world.call(DOCS, 1, 3_000);
+  await world.clock.advance(200);
+  assert.ok(known.server !== undefined);
+  assert.equal(world.tally.ends.refused, 0);
+  // Its later copies are taken once the daemon has read by itself.
+  await world.clock.advance(2_000);
+  assert.equal(world.tally.ends.answered, 2);
+});
+
+test('an old copy whose later events are forgotten is replaced', async () => {
+  const world = await createKilledFleet(2);
+  world.store.forgetHistory();
+  await startAll(world);
+  await world.clock.advance(2_000);
+  assert.deepEqual(versionsOf(world), [2, 2]);
+});
+
+test('a daemon that starts while the store is away gets its copy from a peer', async () => {
+  const world = await createKilledFleet(3);
+  await startAll(world);
+  await world.clock.advance(2_000);
+  world.store.outages.set('', OutageKind.SILENT);
+  world.killDaemon('d1');
+  await world.clock.advance(500);
+  await world.startDaemon('d1');
+  await world.clock.advance(200);
+  assert.deepEqual(versionsOf(world), [2, 2, 2]);
+});
--- a/src/ports/catalog-source.ts
+++ b/src/ports/catalog-source.ts
@@ -62,6 +62,13 @@
   abstract readAll(
     deadline: number,
   ): ResultAsync<CatalogReading, SourceFailure>;
+  /**
+   * Reads everything as it was at some moment of late, which may lie seconds back, at
+   * a fraction of the price. The revision in it is that of the same moment.
+   */
+  abstract readOld(
+    deadline: number,
+  ): ResultAsync<CatalogReading, SourceFailure>;
   /**
    * Waits until something is written after `revision` or `deadline` comes; the
    * events are then empty.
--- a/standins/catalog-store.ts
+++ b/standins/catalog-store.ts
@@ -20,6 +20,7 @@
 const ANSWER_MS = 4;
 /** Time after which a call to a silent store ends a whole read, in milliseconds. */
 const SILENCE_LIMIT_MS = 1_000;
+const OLD_READ = 'old read';
 
 /** How a call ends while the store is out of reach. */
 export const OutageKind = {
@@ -30,6 +31,13 @@
 /** One of the kinds in `OutageKind`. */
 export type OutageKind = (typeof OutageKind)[keyof typeof OutageKind];
 
+/** What the store held until a moment. */
+interface LeftState {
+  readonly reading: CatalogReading;
+  /** Monotonic milliseconds. */
+  readonly until: number;
+}
+
 interface StoredEvent {
   readonly revision: number;
   readonly routes?: RouteListing;
@@ -39,10 +47,14 @@
 
 /** The store; daemons reach it through sources. */
 export class CatalogStore {
-  /** Reads and waits that arrived, refused ones included. */
+  /** Reads of the newest and waits that arrived, refused ones included. */
   calls = 0;
+  /** Old reads that arrived, which cost a tenth. */
+  oldReads = 0;
   /** Outages by the daemon that they meet; '' meets all. */
   readonly outages = new Map<string, OutageKind>();
+  /** How far old reads lie back, in milliseconds. */
+  lagMs = 1_000;
   /** Milliseconds until an answer leaves. */
   answerMs = ANSWER_MS;
   private revision = 1;
@@ -51,6 +63,8 @@
   private events: StoredEvent[] = [];
   private forgottenUpTo = 0;
   private readonly waiting = new Set<() => void>();
+  /** States that were left of late, the newest last. */
+  private left: LeftState[] = [];
 
   private constructor(readonly clock: Clock) {}
 
@@ -61,6 +75,7 @@
 
   /** Publishes a version of the routes. */
   putRoutes(routes: RouteListing): void {
+    this.keepOld();
     this.revision += 1;
     this.routes = routes;
     this.note({revision: this.revision, routes});
@@ -70,6 +85,7 @@
   putServer(
     server: Omit<CatalogServer, 'revision' | 'createdRevision'>,
   ): CatalogServer {
+    this.keepOld();
     this.revision += 1;
     const known = this.servers.get(server.id);
     const {revision} = this;
@@ -82,6 +98,7 @@
 
   /** Removes a server's entry. */
   removeServer(id: string): void {
+    this.keepOld();
     if (this.servers.delete(id)) {
       this.revision += 1;
       this.note({revision: this.revision, removed: id});
@@ -111,6 +128,12 @@
     return {routes, servers: {revision, servers: [...this.servers.values()]}};
   }
 
+  /** Everything as it was `lagMs` ago. */
+  readOld(): CatalogReading {
+    const at = this.clock.now() - this.lagMs;
+    return this.left.find(({until}) => until > at)?.reading ?? this.read();
+  }
+
   /** Events after a revision; undefined when they are no longer kept. */
   eventsAfter(revision: number): CatalogEvents | undefined {
     if (revision < this.forgottenUpTo) {
@@ -133,6 +156,13 @@
     return () => this.waiting.delete(task);
   }
 
+  /** Keeps the state that a change is about to end. */
+  private keepOld(): void {
+    const now = this.clock.now();
+    this.left = this.left.filter(({until}) => until > now - this.lagMs);
+    this.left.push({reading: this.read(), until: now});
+  }
+
   private note(event: StoredEvent): void {
     this.events.push(event);
     this.wake();
@@ -173,6 +203,13 @@
     );
   }
 
+  readOld(deadline: number): ResultAsync<CatalogReading, SourceFailure> {
+    const limit = Math.min(deadline, this.clock.now() + SILENCE_LIMIT_MS);
+    return new ResultAsync(
+      this.call(OLD_READ, limit, async () => ok(this.store.readOld())),
+    );
+  }
+
   awaitEvents(
     revision: number,
     deadline: number,
@@ -212,7 +249,11 @@
     deadline: number,
     run: () => Promise<Result<T, SourceFailure>>,
   ): Promise<Result<T, SourceFailure>> {
-    this.store.calls += 1;
+    if (name === OLD_READ) {
+      this.store.oldReads += 1;
+    } else {
+      this.store.calls += 1;
+    }
     const before = await this.meetOutage<T>(name, deadline);
     if (before !== undefined) {
       return before;
