Servers that fall silent are found unreachable by several daemons, and waiting callers reset

Cause: a server that loses power says nothing; its callers send again on open flows until their deadline.

Ruled out: silence of flows alone, told by several daemons. A slow or full server looks alike, and with five requests a second at a server the evidence comes too late. Health checks take a slot; the entries' heartbeats change no revision.

Change: the daemon that sees the first packet sent again, and two peers of other failure domains, try to reach the server's host by TCP. If nobody does within 0.3 s, all are told; flows whose requests may be repeated are reset, those of waiting callers at once. A finding holds 3.5 s unless confirmed, ends when somebody reaches the host, and counts for nothing while more than half of a service seems unreachable.

The fuzz has servers that fall silent and come back, and daemons cut off from servers.

--- a/bench/experiments/placing.ts
+++ b/bench/experiments/placing.ts
@@ -16,6 +16,7 @@
   address: 0xc6120001,
   port: 443,
   shares: [{service: 'pay', weight: 1}],
+  repeatable: false,
 };
 const SERVERS = 10;
 const SLOTS = 3;
--- a/src/adapters/datagram-fleet.spec.ts
+++ b/src/adapters/datagram-fleet.spec.ts
@@ -24,6 +24,9 @@
   work: [],
   hello: true,
   reads: [],
+  reachAsks: [],
+  reachVotes: [],
+  reachNews: [],
 };
 
 function createFleet(address: number) {
--- /dev/null
+++ b/src/adapters/tcp-contact.spec.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import net, {type AddressInfo} from 'node:net';
+import {test} from 'node:test';
+import {Worker} from 'node:worker_threads';
+import {ContactResult} from '../ports/server-contact.js';
+import {SystemClock} from './system-clock.js';
+import {TcpContact} from './tcp-contact.js';
+
+const LOOPBACK = 0x7f000001;
+/** Time for an attempt, in milliseconds. */
+const CONTACT_MS = 200;
+
+const clock = SystemClock.create();
+
+async function listen(server: net.Server): Promise<number> {
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return (server.address() as AddressInfo).port;
+}
+
+test('a host that takes or refuses a connection is reached at once', async () => {
+  const contact = TcpContact.create(clock);
+  const server = net.createServer();
+  const port = await listen(server);
+  const startedAt = clock.now();
+  const deadline = startedAt + 5_000;
+  const taken = await contact.reach({address: LOOPBACK, port}, deadline);
+  await new Promise(resolve => server.close(resolve));
+  const refused = await contact.reach({address: LOOPBACK, port}, deadline);
+  assert.equal(taken, ContactResult.REACHED);
+  assert.equal(refused, ContactResult.REACHED);
+  assert.ok(clock.now() - startedAt < 2_000);
+});
+
+/** Listens with a queue of one, and then takes nothing any more. */
+const DEAF_LISTENER = `
+  const {parentPort} = require('node:worker_threads');
+  const server = require('node:net').createServer();
+  server.listen({port: 0, host: '127.0.0.1', backlog: 1}, () => {
+    parentPort.postMessage(server.address().port);
+    setImmediate(() => {
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0);
+    });
+  });
+`;
+
+test('a host that says nothing is silent when the time is over', async t => {
+  const listener = new Worker(DEAF_LISTENER, {eval: true});
+  const [port] = (await once(listener, 'message')) as [number];
+  // These fill the queue; opening packets of others are dropped from now on, as a
+  // host without power drops them.
+  const fillers = Array.from({length: 4}, () => net.connect(port, '127.0.0.1'));
+  fillers.forEach(socket => socket.on('error', () => undefined));
+  t.after(async () => {
+    fillers.forEach(socket => socket.destroy());
+    await listener.terminate();
+  });
+  await new Promise(resolve => setTimeout(resolve, 100));
+  const startedAt = clock.now();
+  const deadline = startedAt + CONTACT_MS;
+  const contact = TcpContact.create(clock);
+  const result = await contact.reach({address: LOOPBACK, port}, deadline);
+  assert.equal(result, ContactResult.SILENT);
+  assert.ok(clock.now() - startedAt >= CONTACT_MS - 1);
+});
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -83,10 +83,11 @@
 }
 
 function applyRoutes(catalog: Catalog, list: RouteList, now: number): void {
-  const routes = list.routes.map(({address, port, shares}) => ({
+  const routes = list.routes.map(({address, port, shares, repeatable}) => ({
     address,
     port,
     shares,
+    repeatable,
   }));
   catalog.takeRoutes({version: list.version, routes}, now - list.ageMs);
 }
@@ -101,11 +102,12 @@
 }
 
 function encodeRoute(route: KnownRoute): RouteEntry {
-  const {address, port, shares} = route;
+  const {address, port, shares, repeatable} = route;
   return {
     address,
     port,
     shares: shares.map(({service, weight}) => ({service, weight})),
+    repeatable,
   };
 }
 
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -108,6 +108,23 @@
     return this.servers.all();
   }
 
+  /** Servers of a service that are in the list, or left it not long ago. */
+  countServers(service: string): number {
+    return [...this.allServers(), ...this.departures.all()].filter(
+      server => server.service === service,
+    ).length;
+  }
+
+  /** Whether a server is in the list. */
+  isListed(id: string): boolean {
+    return this.servers.get(id) !== undefined;
+  }
+
+  /** A server in the list, or one that left it not long ago. */
+  serverById(id: string): CatalogServer | undefined {
+    return this.servers.get(id) ?? this.departures.serverById(id);
+  }
+
   /** Servers of a service that take new flows, lapsed ones that may live included. */
   openServers(service: string): readonly CatalogServer[] {
     const listed = this.servers.openServers(service);
--- a/src/catalog/departures.ts
+++ b/src/catalog/departures.ts
@@ -120,6 +120,16 @@
     });
   }
 
+  /** All departed servers that are not forgotten yet. */
+  all(): CatalogServer[] {
+    return [...this.departures.values()].map(({server}) => server);
+  }
+
+  /** A departed server that is not forgotten yet. */
+  serverById(id: string): CatalogServer | undefined {
+    return this.departures.get(id)?.server;
+  }
+
   /** Whether the server's end is certain. */
   isGone(id: string): boolean {
     return this.departures.get(id)?.gone === true;
--- a/src/catalog/records.ts
+++ b/src/catalog/records.ts
@@ -41,6 +41,8 @@
   readonly address: number;
   readonly port: number;
   readonly shares: readonly ServiceShare[];
+  /** Whether callers send its requests again when they had no answer. */
+  readonly repeatable: boolean;
 }
 
 /** A server whose entry is gone. */
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -11,6 +11,8 @@
 import type {FleetChannel} from '../ports/fleet-channel.js';
 import type {Log} from '../ports/log.js';
 import {formatIpv4} from '../routing/ipv4.js';
+import {ContactResult} from '../ports/server-contact.js';
+import type {ServerReachability} from '../reachability/server-reachability.js';
 import type {Random} from '../routing/random.js';
 import {
   ageOf,
@@ -51,6 +53,7 @@
   readonly catalog: Catalog;
   readonly peers: PeerView;
   readonly turns: ReadTurns;
+  readonly reach: ServerReachability;
   readonly channel: FleetChannel;
   readonly clock: Clock;
   readonly log: Log;
@@ -115,6 +118,18 @@
     this.sendToAll(this.receivers(), false);
   }
 
+  /** Asks peers to try to reach a server. */
+  ask(daemons: readonly number[], server: string): void {
+    const beat = {...this.beat(false), reachAsks: [server]};
+    daemons.forEach(address => this.send(address, beat));
+  }
+
+  /** Tells a peer that asked what came of it. */
+  vote(daemon: number, server: string, result: ContactResult): void {
+    const reached = result === ContactResult.REACHED;
+    this.send(daemon, {...this.beat(false), reachVotes: [{server, reached}]});
+  }
+
   private tick(): void {
     const {clock, random} = this.options;
     const pause = BEAT_MS * (0.9 + random.next() / 5);
@@ -228,7 +243,7 @@
 
   /** What this daemon tells now; a beat with `hello` is answered at once. */
   private beat(hello: boolean): Beat {
-    const {catalog, peers, turns, clock} = this.options;
+    const {catalog, peers, turns, reach, clock} = this.options;
     const now = clock.now();
     const {stamp} = catalog;
     return {
@@ -242,6 +257,13 @@
       work: this.options.workToTell(this.isLarge()),
       hello,
       reads: turns.told(now).map(mark => encodeMark(mark, now)),
+      reachAsks: [],
+      reachVotes: [],
+      reachNews: reach.told(now).map(({server, reached, at}) => ({
+        server,
+        reached,
+        ageMs: ageOf(at, now),
+      })),
     };
   }
 
@@ -253,7 +275,12 @@
     }
     beat.peers.forEach(told => peers.merge(told, now));
     this.options.onWork(sender, beat.work);
-    const gain = Math.max(this.confirm(beat, now), this.takeMarks(beat, now));
+    this.takeQuestions(sender, beat);
+    const gain = Math.max(
+      this.confirm(beat, now),
+      this.takeMarks(beat, now),
+      this.takeReachNews(beat, now),
+    );
     if (this.isNewer(beat)) {
       void this.pullWhatIsNewer(sender, beat);
     } else if (gain > RELAY_GAIN_MS) {
@@ -302,6 +329,28 @@
     );
   }
 
+  /** Takes what a peer wants tried, and what it tried itself. */
+  private takeQuestions(sender: number, beat: Beat): void {
+    const {reach} = this.options;
+    beat.reachAsks.forEach(server => void reach.onAsk(sender, server));
+    beat.reachVotes.forEach(({server, reached}) =>
+      reach.onVote(
+        sender,
+        server,
+        reached ? ContactResult.REACHED : ContactResult.SILENT,
+      ),
+    );
+  }
+
+  /** Takes findings on servers; Infinity if one of them is news. */
+  private takeReachNews(beat: Beat, now: number): number {
+    const {reach} = this.options;
+    const news = beat.reachNews.filter(({server, reached, ageMs}) =>
+      reach.hear({server, reached, at: now - ageMs}),
+    );
+    return news.length > 0 ? Infinity : 0;
+  }
+
   /** Takes what a beat says of readers; returns what is the greatest news of it. */
   private takeMarks(beat: Beat, now: number): number {
     const {turns} = this.options;
--- a/src/cli/cause-table.ts
+++ b/src/cli/cause-table.ts
@@ -20,6 +20,8 @@
   'packet-refused': ({reason, outcome}) =>
     `${String(outcome)}: ${String(reason)}`,
   'server-silent': () => 'server silent',
+  'server-unreachable': () => 'server unreachable',
+  'flow-reset': ({reason}) => `reset: ${String(reason)}`,
   'server-departed': () => 'server departed',
   started: () => 'daemon started',
   'first-packet': () => 'first packet',
--- a/src/cli/flow-story.spec.ts
+++ b/src/cli/flow-story.spec.ts
@@ -14,6 +14,7 @@
   address: 0xc6120001,
   port: 443,
   shares: [{service: 'pay', weight: 1}],
+  repeatable: false,
 };
 
 async function createWorld(): Promise<CookieWorld> {
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -10,11 +10,13 @@
   address: 0xc6120001,
   port: 443,
   shares: [{service: 'pay', weight: 1}],
+  repeatable: false,
 };
 const DOCS = {
   address: 0xc6120002,
   port: 443,
   shares: [{service: 'docs', weight: 1}],
+  repeatable: true,
 };
 const LONG_CALL_MS = 20_000;
 const PLAN: WorldPlan = {
@@ -293,6 +295,8 @@
       'forget',
       'drain',
       'crash',
+      'pause',
+      'cut-servers',
       'reuse',
       'add',
       'routes',
@@ -355,6 +359,11 @@
         world.crashServer(server, fault.lastsMs % 2 === 0, 2_300);
       }
     },
+    pause: () => world.pauseServer(server, fault.lastsMs),
+    'cut-servers': () => {
+      world.cutFromServers.add(name);
+      later(() => world.cutFromServers.delete(name));
+    },
     reuse: () => {
       if (spare) {
         world.crashServer(server, true, 2_300);
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -3,6 +3,7 @@
  * all others where their cookies say, and shares a catalog with its peers.
  */
 import {Catalog, type CatalogChange} from '../catalog/catalog.js';
+import type {CatalogServer} from '../catalog/records.js';
 import {ReadTurns} from '../catalog/read-turns.js';
 import {CatalogReader} from '../catalog/reader.js';
 import {CatalogSpread} from '../catalog/spread.js';
@@ -10,11 +11,17 @@
 import {PeerView} from '../membership/peer-view.js';
 import type {CatalogSource} from '../ports/catalog-source.js';
 import type {Clock} from '../ports/clock.js';
-import type {CookieFabric, CookiePacket} from '../ports/cookie-fabric.js';
+import type {
+  CallerPosition,
+  CookieFabric,
+  CookiePacket,
+} from '../ports/cookie-fabric.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import type {FleetChannel} from '../ports/fleet-channel.js';
 import type {Hasher} from '../ports/hasher.js';
 import type {Log, LogFields} from '../ports/log.js';
+import type {ServerContact} from '../ports/server-contact.js';
+import {ServerReachability} from '../reachability/server-reachability.js';
 import {
   CookieRouter,
   RefusalReason,
@@ -36,6 +43,7 @@
   readonly fabric: CookieFabric;
   readonly channel: FleetChannel;
   readonly source: CatalogSource;
+  readonly contact: ServerContact;
   readonly clock: Clock;
   readonly hasher: Hasher;
   readonly random: Random;
@@ -54,6 +62,7 @@
   private readonly router: CookieRouter;
   private readonly spread: CatalogSpread;
   private readonly turns: ReadTurns;
+  private readonly reach: ServerReachability;
   private readonly reader: CatalogReader;
   private readonly stops: Array<() => void> = [];
   private seeds: readonly number[];
@@ -73,6 +82,7 @@
     this.placement = options.placement ?? OwnWorkPlacement.create();
     this.router = this.createRouter();
     this.turns = this.createTurns();
+    this.reach = this.createReachability();
     this.spread = this.createSpread();
     this.reader = this.createReader();
   }
@@ -158,6 +168,7 @@
     log.warn('leaving', this.versions());
     this.spread.announce();
     await stop.awaitQuiet();
+    this.reach.stop();
     this.stops.forEach(end => end());
     this.options.fabric.close();
     log.warn('stopped', {
@@ -190,6 +201,8 @@
       counters,
       inForceLimitMs: settings.inForceLimitMs,
       onSilent: ({id}) => this.noteSilent(id),
+      onUnanswered: server => this.reach.suspect(server),
+      isUnreachable: id => this.reach.isUnreachable(id),
     });
   }
 
@@ -203,12 +216,36 @@
     });
   }
 
+  private createReachability(): ServerReachability {
+    const {settings, contact, clock, log} = this.options;
+    const {address, failureDomain, flowLifetimeMs} = settings;
+    return ServerReachability.create({
+      self: address,
+      failureDomain,
+      flowLifetimeMs,
+      contact,
+      peers: this.peers,
+      clock,
+      log,
+      serverById: id => this.catalog.serverById(id),
+      isListed: id => this.catalog.isListed(id),
+      serverCount: service => this.catalog.countServers(service),
+      answeredAt: id => this.work.answeredAt(id),
+      ask: (daemons, server) => this.spread.ask(daemons, server),
+      vote: (daemon, server, result) =>
+        this.spread.vote(daemon, server, result),
+      announce: () => this.spread.announce(),
+      onUnreachable: server => this.resetWaiting(server),
+    });
+  }
+
   private createSpread(): CatalogSpread {
     const {channel, clock, log, random} = this.options;
     return CatalogSpread.create({
       catalog: this.catalog,
       peers: this.peers,
       turns: this.turns,
+      reach: this.reach,
       channel,
       clock,
       log,
@@ -304,6 +341,20 @@
     this.spread.announce();
   }
 
+  /** Callers that wait for a server that cannot be reached come again elsewhere. */
+  private resetWaiting(server: CatalogServer): void {
+    const {fabric, log, counters} = this.options;
+    this.router.takeCutOff(server).forEach(caller => {
+      fabric.reset(caller);
+      counters.add(Metric.PACKETS_UNROUTABLE);
+      log.info('flow-reset', {
+        ...flowOf(caller),
+        server: server.id,
+        reason: RefusalReason.SERVER_UNREACHABLE,
+      });
+    });
+  }
+
   /** Logs a change; the work of departed servers is forgotten. */
   private noteChange(change: CatalogChange): void {
     const {log} = this.options;
@@ -322,6 +373,7 @@
     change.departed.forEach(({id, service}) =>
       log.info('server-departed', {server: id, service}),
     );
+    this.reach.noteListing(change.changed, change.departed);
     if (change.departed.length > 0) {
       this.work.retain(this.catalog.allServers().map(({id}) => id));
     }
@@ -341,7 +393,7 @@
 }
 
 /** The flow of a packet, as it is logged. */
-function flowOf(packet: CookiePacket): LogFields {
+function flowOf(packet: CallerPosition): LogFields {
   const source = `${formatIpv4(packet.sourceAddress)}:${packet.sourcePort}`;
   const destination = `${formatIpv4(packet.destinationAddress)}:${packet.destinationPort}`;
   return {source, destination};
--- a/src/entry/large-fleet.spec.ts
+++ b/src/entry/large-fleet.spec.ts
@@ -13,6 +13,7 @@
   address: 0xc6120001,
   port: 443,
   shares: [{service: 'pay', weight: 1}],
+  repeatable: false,
 };
 const BOUNDS = {drainMs: 3_000, configurationMs: 3_000};
 const CALM_MS = 20_000;
--- a/src/entry/start.spec.ts
+++ b/src/entry/start.spec.ts
@@ -10,11 +10,13 @@
   address: 0xc6120001,
   port: 443,
   shares: [{service: 'pay', weight: 1}],
+  repeatable: false,
 };
 const DOCS = {
   address: 0xc6120002,
   port: 443,
   shares: [{service: 'docs', weight: 1}],
+  repeatable: true,
 };
 /** How far the store's old reads lie back, in milliseconds. */
 const LAG_MS = 5_000;
--- a/src/ports/cookie-fabric.ts
+++ b/src/ports/cookie-fabric.ts
@@ -31,6 +31,16 @@
   readonly bytes: Uint8Array;
 }
 
+/** Where a caller stands in its flow, as a reset to it needs it. */
+export type CallerPosition = Pick<
+  CookiePacket,
+  | 'sourceAddress'
+  | 'sourcePort'
+  | 'destinationAddress'
+  | 'destinationPort'
+  | 'acknowledged'
+>;
+
 /** A fabric with cookies; packets arrive by callback. */
 export abstract class CookieFabric {
   /** Starts taking packets; malformed datagrams are counted, never handed on. */
@@ -41,8 +51,8 @@
     server: CatalogServer,
     cookie: number,
   ): void;
-  /** Tells the caller that the packet's flow is over, or was never opened. */
-  abstract reset(packet: CookiePacket): void;
+  /** Tells the caller that its flow is over, or was never opened. */
+  abstract reset(caller: CallerPosition): void;
   /** Stops taking packets. */
   abstract close(): void;
 }
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -8,7 +8,7 @@
 import type {CatalogServer} from '../catalog/records.js';
 import type {KnownRoute} from '../catalog/route-table.js';
 import type {Clock} from '../ports/clock.js';
-import type {CookiePacket} from '../ports/cookie-fabric.js';
+import type {CallerPosition, CookiePacket} from '../ports/cookie-fabric.js';
 import type {Counters} from '../ports/counters.js';
 import type {Candidate, Placement} from './placement.js';
 import type {Random} from './random.js';
@@ -46,6 +46,8 @@
   NO_SERVER: 'no-server',
   /** The flow's server has ended for certain. */
   SERVER_GONE: 'server-gone',
+  /** No daemon reaches the flow's server, and its requests may be repeated. */
+  SERVER_UNREACHABLE: 'server-unreachable',
   /** No server of the route has the packet's cookie. */
   UNKNOWN_COOKIE: 'unknown-cookie',
   /** A caller gave up a flow that has no route. */
@@ -82,6 +84,10 @@
   readonly inForceLimitMs: number;
   /** Told of a server that left a packet unanswered and is avoided from now on. */
   onSilent(server: CatalogServer): void;
+  /** Told of each packet that a server left unanswered. */
+  onUnanswered(server: CatalogServer): void;
+  /** Whether daemons of several failure domains cannot reach a server. */
+  isUnreachable(server: string): boolean;
 }
 
 /** Decides on packets that carry cookies. */
@@ -90,7 +96,12 @@
   private readonly unknown = UnknownCookies.create();
 
   private constructor(private readonly options: CookieRouterOptions) {
-    this.flows = SeenFlows.create(options);
+    const {counters, work, clock} = options;
+    this.flows = SeenFlows.create({
+      counters,
+      work,
+      onUnanswered: server => this.noteUnanswered(server, clock.now()),
+    });
   }
 
   /** Creates a router without any flow. */
@@ -122,9 +133,45 @@
     if (catalog.isGone(server)) {
       return this.refuse(packet, RefusalReason.SERVER_GONE);
     }
+    if (this.isCutOff(packet, route, server)) {
+      const reason = RefusalReason.SERVER_UNREACHABLE;
+      return {verdict: Verdict.RESET, reason};
+    }
     return {verdict: Verdict.FORWARD, server, cookie: packet.cookie};
   }
 
+  /**
+   * Callers that waited for a server which cannot be reached from now on, and may send
+   * their requests again elsewhere.
+   */
+  takeCutOff(server: CatalogServer): CallerPosition[] {
+    const {catalog, clock} = this.options;
+    return this.flows
+      .takeWaiting(server.id, clock.now())
+      .filter(
+        ({destinationAddress, destinationPort}) =>
+          catalog.routeOf(destinationAddress, destinationPort)?.repeatable ===
+          true,
+      );
+  }
+
+  /**
+   * Whether a packet's caller gains by a reset: its server cannot be reached, and its
+   * request may be repeated. One that may not be is better off with the server that has
+   * it, should that come back.
+   */
+  private isCutOff(
+    packet: CookiePacket,
+    route: KnownRoute,
+    server: CatalogServer,
+  ): boolean {
+    return (
+      route.repeatable &&
+      !packet.resets &&
+      this.options.isUnreachable(server.id)
+    );
+  }
+
   /**
    * A cookie that names nobody is dropped; once the list was surely read without
    * its server, and steadily so, the server has ended and the caller is told.
@@ -179,6 +226,7 @@
     if (this.options.work.noteUnanswered(server.id, now)) {
       this.options.onSilent(server);
     }
+    this.options.onUnanswered(server);
   }
 
   /** A server for a new flow; undefined when the route's service has none. */
@@ -230,7 +278,9 @@
     now: number,
   ): readonly CatalogServer[] {
     const {work} = this.options;
-    const answering = servers.filter(({id}) => !work.isSilent(id, now));
+    const answering = servers.filter(
+      ({id}) => !work.isSilent(id, now) && !this.options.isUnreachable(id),
+    );
     const trusted =
       answering.length * 2 >= servers.length ? answering : servers;
     const untried = trusted.filter(
--- a/src/routing/seen-flows.ts
+++ b/src/routing/seen-flows.ts
@@ -4,7 +4,7 @@
  * when a daemon starts without it.
  */
 import type {CatalogServer} from '../catalog/records.js';
-import type {CookiePacket} from '../ports/cookie-fabric.js';
+import type {CallerPosition, CookiePacket} from '../ports/cookie-fabric.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import {destinationKey} from './flow-key.js';
 import type {ServerWorkLedger} from './server-work.js';
@@ -18,6 +18,11 @@
 const OPENING_LIFETIME_MS = 2_500;
 /** Time without a packet after which a flow is forgotten, in milliseconds. */
 const IDLE_LIFETIME_MS = 20_000;
+/**
+ * Longest time between two packets of a caller that waits for an answer, in
+ * milliseconds: its pauses double from 200 ms to 1.6 s.
+ */
+const LONGEST_REPEAT_MS = 2_000;
 /** Time between two sweeps, in milliseconds. */
 const SWEEP_MS = 1_000;
 /** Stands for "no data yet" among positions. */
@@ -43,6 +48,9 @@
   acknowledgedBefore: number;
   /** Position of the newest data that the caller sent. */
   newestData: number;
+  /** Where the caller stood with its newest packet, and when that came. */
+  caller: CallerPosition;
+  seenAt: number;
   /** Monotonic milliseconds after which it is forgotten. */
   forgetAt: number;
 }
@@ -52,8 +60,8 @@
   readonly counters: Counters;
   /** Where requests and silences are counted. */
   readonly work: ServerWorkLedger;
-  /** Told of a server that is avoided from now on. */
-  onSilent(server: CatalogServer): void;
+  /** Told of a server that left a packet without an answer. */
+  onUnanswered(server: CatalogServer): void;
 }
 
 /** The flows that one daemon has seen of late. */
@@ -78,6 +86,21 @@
     return this.flows.get(keyOf(packet));
   }
 
+  /**
+   * Callers that wait for a server's answer and have sent of late; their flows count as
+   * ended from now on.
+   */
+  takeWaiting(server: string, now: number): CallerPosition[] {
+    const waiting = [...this.flows.values()].filter(
+      flow =>
+        flow.isBusy &&
+        flow.server.id === server &&
+        now - flow.seenAt <= LONGEST_REPEAT_MS,
+    );
+    waiting.forEach(flow => this.finish(flow));
+    return waiting.map(({caller}) => caller);
+  }
+
   /** Records where an opening packet or a copy of it was sent. */
   noteOpening(packet: CookiePacket, server: CatalogServer, now: number): void {
     this.sweep(now);
@@ -92,7 +115,7 @@
       return;
     }
     this.put(packet, {
-      ...createFlow(server, now, forgetAt),
+      ...createFlow(packet, server, now, forgetAt),
       tried: [server],
     });
   }
@@ -117,8 +140,10 @@
       counters.observe(Metric.OPENING_ANSWER_MS, now - flow.openingSentAt);
     }
     flow.forgetAt = now + IDLE_LIFETIME_MS;
+    flow.caller = positionOf(packet);
+    flow.seenAt = now;
     this.noteProgress(flow, packet, now);
-    this.noteRepeat(flow, packet, now);
+    this.noteRepeat(flow, packet);
     if (packet.closes || packet.resets) {
       this.end(packet, flow, now);
     }
@@ -132,7 +157,7 @@
     now: number,
   ): SeenFlow {
     const flow: SeenFlow = {
-      ...createFlow(server, now, now + IDLE_LIFETIME_MS),
+      ...createFlow(packet, server, now, now + IDLE_LIFETIME_MS),
       isOpen: true,
       acknowledgedBefore: packet.acknowledged,
     };
@@ -159,20 +184,20 @@
     if (flow.isBusy && ahead > 0 && ahead < HALF_RANGE) {
       this.finish(flow);
       const {work, counters} = this.options;
-      work.noteAnswered(flow.server.id);
+      work.noteAnswered(flow.server.id, now);
       counters.observe(Metric.REQUEST_ANSWER_MS, now - flow.requestedAt);
     }
   }
 
   /** The same data once more: the server has not confirmed it in time. */
-  private noteRepeat(flow: SeenFlow, packet: CookiePacket, now: number): void {
+  private noteRepeat(flow: SeenFlow, packet: CookiePacket): void {
     if (packet.dataLength === 0) {
       return;
     }
     const isRepeat = packet.sequence === flow.newestData;
     flow.newestData = packet.sequence;
-    if (isRepeat && this.options.work.noteUnanswered(flow.server.id, now)) {
-      this.options.onSilent(flow.server);
+    if (isRepeat) {
+      this.options.onUnanswered(flow.server);
     }
   }
 
@@ -218,6 +243,7 @@
 
 /** A flow that has not done anything yet. */
 function createFlow(
+  packet: CookiePacket,
   server: CatalogServer,
   now: number,
   forgetAt: number,
@@ -231,10 +257,25 @@
     requestedAt: now,
     acknowledgedBefore: 0,
     newestData: NO_DATA,
+    caller: positionOf(packet),
+    seenAt: now,
     forgetAt,
   };
 }
 
+/** Not the packet itself: it would keep its bytes. */
+function positionOf(packet: CookiePacket): CallerPosition {
+  const {sourceAddress, sourcePort, acknowledged} = packet;
+  const {destinationAddress, destinationPort} = packet;
+  return {
+    sourceAddress,
+    sourcePort,
+    destinationAddress,
+    destinationPort,
+    acknowledged,
+  };
+}
+
 function keyOf(packet: CookiePacket): string {
   const source = destinationKey(packet.sourceAddress, packet.sourcePort);
   const destination = destinationKey(
--- a/src/routing/server-work.ts
+++ b/src/routing/server-work.ts
@@ -39,6 +39,8 @@
   avoidUntil: number;
   /** When the oldest opening without an answer was sent; Infinity: none. */
   openingSince: number;
+  /** When it last answered; monotonic milliseconds. */
+  answeredAt: number;
 }
 
 /** What one peer told of one server. */
@@ -83,12 +85,13 @@
   /** Notes that a server answered the opening sent at `sentAt`. */
   noteOpened(server: string, sentAt: number, now: number): void {
     this.usualAnswerMs += (now - sentAt - this.usualAnswerMs) * ANSWER_SHARE;
-    this.noteAnswered(server);
+    this.noteAnswered(server, now);
   }
 
   /** Notes that a server answered a packet. */
-  noteAnswered(server: string): void {
+  noteAnswered(server: string, now: number): void {
     const sight = this.sightOf(server);
+    sight.answeredAt = now;
     sight.openingSince = Infinity;
     sight.avoidances = 0;
     sight.avoidUntil = -Infinity;
@@ -129,6 +132,11 @@
     return (this.sights.get(hash)?.unfinished ?? 0) + told;
   }
 
+  /** When a server last answered a packet of this daemon's; -Infinity: never. */
+  answeredAt(server: string): number {
+    return this.sights.get(this.hashes.of(server))?.answeredAt ?? -Infinity;
+  }
+
   /** Unfinished requests that this daemon sent. */
   ownUnfinished(server: string): number {
     return this.sights.get(this.hashes.of(server))?.unfinished ?? 0;
@@ -197,6 +205,7 @@
       avoidances: 0,
       avoidUntil: -Infinity,
       openingSince: Infinity,
+      answeredAt: -Infinity,
     };
     this.sights.set(hash, created);
     return created;
--- a/standins/cookie-server-fleet.ts
+++ b/standins/cookie-server-fleet.ts
@@ -88,6 +88,12 @@
     });
   }
 
+  /** Silences a server that lives on, for a while; its entry stays. */
+  pause(server: CookieServer, forMs: number): void {
+    server.setSilent(true);
+    this.options.later(forMs, () => server.setSilent(server.hasCrashed));
+  }
+
   /** Ends a server unplanned; its entry lapses `lapseMs` later. */
   crash(server: CookieServer, silent: boolean, lapseMs: number): void {
     server.crash(silent);
@@ -96,6 +102,11 @@
     );
   }
 
+  /** Whether the host at an address answers; one without a server refuses. */
+  answersAt(address: number): boolean {
+    return this.occupants.get(address)?.isSilent !== true;
+  }
+
   /** Hands a packet to whoever is at an address now; `meant` is a server's id. */
   deliver(
     packet: CookiePacket,
--- a/standins/cookie-servers.ts
+++ b/standins/cookie-servers.ts
@@ -29,6 +29,8 @@
 export class CookieServer {
   /** Silent servers answer nothing, as one without power. */
   isSilent = false;
+  /** When it last came back from a silence; monotonic milliseconds. */
+  resumedAt = -Infinity;
   /** A crashed server forgets its flows and refuses openings. */
   hasCrashed = false;
   state: ServerState = ServerState.READY;
@@ -68,6 +70,14 @@
     }
   }
 
+  /** Falls silent with all that it holds, as behind a cut, or comes back. */
+  setSilent(isSilent: boolean): void {
+    this.isSilent = isSilent;
+    if (!isSilent) {
+      this.resumedAt = this.options.clock.now();
+    }
+  }
+
   /** Ends the run; what was under way is lost. */
   crash(silent: boolean): void {
     this.hasCrashed = true;
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -11,7 +11,7 @@
 } from '../src/catalog/records.js';
 import {EntryDaemon} from '../src/entry/entry-daemon.js';
 import type {EntrySettings} from '../src/entry/settings.js';
-import type {CookiePacket} from '../src/ports/cookie-fabric.js';
+import type {CallerPosition, CookiePacket} from '../src/ports/cookie-fabric.js';
 import type {Hasher} from '../src/ports/hasher.js';
 import type {Placement} from '../src/routing/placement.js';
 import {Random} from '../src/routing/random.js';
@@ -22,6 +22,7 @@
 import type {CookieServer, ServerPacket} from './cookie-servers.js';
 import {FakeClock, ProcessClock} from './fake-clock.js';
 import {ChannelNetwork, MemoryChannel} from './memory-channel.js';
+import {MemoryContact} from './memory-contact.js';
 import {MemoryLog, type LoggedLine} from './memory-log.js';
 import {chooseDaemon, noteCheck, type CheckedDaemon} from './packet-router.js';
 import {
@@ -83,6 +84,8 @@
   readonly network: ChannelNetwork;
   readonly daemons = new Map<string, WorldDaemon>();
   readonly lines: LoggedLine[] = [];
+  /** Daemons whose packets do not reach servers. */
+  readonly cutFromServers = new Set<string>();
   readonly judge: PromiseJudge;
   readonly tally: CallTally = {
     ends: {answered: 0, refused: 0, cut: 0, 'timed-out': 0},
@@ -193,6 +196,11 @@
     this.servers.crash(server, silent, lapseMs);
   }
 
+  /** Silences a server for a while, as a cut of its links would. */
+  pauseServer(server: CookieServer, forMs: number): void {
+    this.servers.pause(server, forMs);
+  }
+
   /** Starts a daemon that does not run. */
   async startDaemon(name: string, isFirstStart = false): Promise<void> {
     const daemon = this.daemonOf(name);
@@ -210,6 +218,9 @@
       counters: MemoryCounters.create(),
       log: MemoryLog.create(name, this.lines),
       channel: MemoryChannel.create(address, this.network, clock),
+      contact: MemoryContact.create(clock, server =>
+        this.answers(server, name),
+      ),
       source: MemoryCatalogSource.create(name, this.store, clock),
       placement: this.plan.placement,
     });
@@ -249,6 +260,11 @@
     );
   }
 
+  /** Whether a server's host answers a daemon. */
+  private answers({address}: {address: number}, name: string): boolean {
+    return !this.cutFromServers.has(name) && this.servers.answersAt(address);
+  }
+
   /** A daemon by name. */
   daemonOf(name: string): WorldDaemon {
     const daemon = this.daemons.get(name);
@@ -268,16 +284,19 @@
     packet: CookiePacket,
     meant: CatalogServer,
     cookie: number,
+    daemon: string,
   ): void {
     const {address, id} = meant;
-    this.after(() => this.servers.deliver(packet, address, id, cookie));
+    if (!this.cutFromServers.has(daemon)) {
+      this.after(() => this.servers.deliver(packet, address, id, cookie));
+    }
   }
 
   /** Hands a daemon's reset over to its caller. */
-  deliverReset(packet: CookiePacket, daemon: string): void {
+  deliverReset(caller: CallerPosition, daemon: string): void {
     this.after(() => {
-      const flow = flowName(packet);
-      const {destinationAddress: address, destinationPort: port} = packet;
+      const flow = flowName(caller);
+      const {destinationAddress: address, destinationPort: port} = caller;
       this.judge.judgeReset(flow, {address, port}, daemon);
       this.callers.find(flow)?.receiveReset();
     });
--- a/standins/world-fabric.ts
+++ b/standins/world-fabric.ts
@@ -1,6 +1,10 @@
 /** A fabric with cookies between one daemon and a world in memory. */
 import type {CatalogServer} from '../src/catalog/records.js';
-import {CookieFabric, type CookiePacket} from '../src/ports/cookie-fabric.js';
+import {
+  CookieFabric,
+  type CallerPosition,
+  type CookiePacket,
+} from '../src/ports/cookie-fabric.js';
 
 /** The ways from daemons to servers and callers. */
 export interface PacketWays {
@@ -9,9 +13,10 @@
     packet: CookiePacket,
     meant: CatalogServer,
     cookie: number,
+    daemon: string,
   ): void;
   /** Hands a daemon's reset over to its caller. */
-  deliverReset(packet: CookiePacket, daemon: string): void;
+  deliverReset(caller: CallerPosition, daemon: string): void;
 }
 
 /** The fabric of one daemon. */
@@ -44,13 +49,13 @@
 
   forward(packet: CookiePacket, server: CatalogServer, cookie: number): void {
     if (!this.isClosed) {
-      this.ways.deliverToServer(packet, server, cookie);
+      this.ways.deliverToServer(packet, server, cookie, this.daemon);
     }
   }
 
-  reset(packet: CookiePacket): void {
+  reset(caller: CallerPosition): void {
     if (!this.isClosed) {
-      this.ways.deliverReset(packet, this.daemon);
+      this.ways.deliverReset(caller, this.daemon);
     }
   }
 
