Evacuated failure domains get no new flows, at any daemon

Change: a server list carries the evacuated domains as of its revision; they are part of the digest, so that daemons with equal stamps hold equal evacuations and others pull. Events, whole reads, old copies and pulls all carry them. Their servers leave the open servers of a service before samples are drawn, before silence is weighed and before lapsed ones are added; open flows stay. The bound of an evacuation is a setting; the shorter of it and of a version's decides how often the store is read.

Ruled out: revisions a domain with tombstones (the list's revision orders whole sets already); a call of its own for the prefix (the range over all keys shows it at no price).

--- a/bench/experiments/placing.ts
+++ b/bench/experiments/placing.ts
@@ -128,7 +128,7 @@
     failureDomains: ['a', 'b', 'c'],
     services: [{name: 'pay', servers: SERVERS, slots: SLOTS, workMs: WORK_MS}],
     routes: [PAY],
-    bounds: {drainMs: 3_000, configurationMs: 3_000},
+    bounds: {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000},
     placement,
   };
 }
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -73,12 +73,14 @@
 }
 
 function applyServers(catalog: Catalog, list: ServerList, now: number): void {
-  const {revision, ageMs, removed, whole} = list;
-  const written = list.servers.map(entry => decodeServer(entry, now));
+  const {removed, whole} = list;
+  const confirmedAt = now - list.ageMs;
+  const servers = list.servers.map(entry => decodeServer(entry, now));
   if (whole) {
-    catalog.takeServers({revision, servers: written}, now - ageMs);
+    catalog.takeServers({...list, servers}, confirmedAt);
   } else {
-    catalog.takeServerChanges({written, removed}, revision, now - ageMs);
+    const changes = {written: servers, removed};
+    catalog.takeServerChanges(changes, list, confirmedAt);
   }
 }
 
@@ -126,6 +128,7 @@
     servers: servers.map(server => encodeServer(server, now)),
     whole: changes === undefined,
     removed: [...(changes?.removed ?? [])],
+    evacuated: catalog.evacuatedDomains(),
   };
 }
 
--- a/src/catalog/catalog.spec.ts
+++ b/src/catalog/catalog.spec.ts
@@ -4,7 +4,7 @@
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
 import {applyUpdate, updateFor} from './catalog-messages.js';
 import {Catalog} from './catalog.js';
-import type {CatalogServer, ServerState} from './records.js';
+import type {CatalogServer, DomainChange, ServerState} from './records.js';
 
 const hasher = await XxhashHasher.create();
 
@@ -45,9 +45,9 @@
   const catalog = createCatalog();
   const old = serverOf('i-1', 1, {address: 7});
   const next = serverOf('i-2', 2, {address: 7, service: 'docs'});
-  catalog.takeServers({revision: 1, servers: [old]}, 0);
+  catalog.takeServers({revision: 1, servers: [old], evacuated: []}, 0);
   assert.equal(catalog.isGone(old), false);
-  catalog.takeServers({revision: 2, servers: [old, next]}, 500);
+  catalog.takeServers({revision: 2, servers: [old, next], evacuated: []}, 500);
   assert.equal(catalog.isGone(old), true);
   assert.equal(catalog.isGone(next), false);
   assert.deepEqual(openIds(catalog), []);
@@ -57,13 +57,16 @@
   const catalog = createCatalog();
   const lapsed = serverOf('i-1', 1, {address: 7});
   const other = serverOf('i-2', 2, {address: 8});
-  catalog.takeServers({revision: 2, servers: [lapsed, other]}, 0);
+  catalog.takeServers(
+    {revision: 2, servers: [lapsed, other], evacuated: []},
+    0,
+  );
   // The store was away: the entry may have lapsed although its server lives.
-  catalog.takeServers({revision: 5, servers: [other]}, 10_000);
+  catalog.takeServers({revision: 5, servers: [other], evacuated: []}, 10_000);
   assert.deepEqual(openIds(catalog), ['i-1', 'i-2']);
   const next = serverOf('i-3', 6, {address: 7, service: 'docs'});
   catalog.takeEvents(
-    {revision: 6, routes: undefined, written: [next], removed: []},
+    {revision: 6, routes: undefined, written: [next], removed: [], domains: []},
     10_200,
   );
   assert.deepEqual(openIds(catalog), ['i-2']);
@@ -97,7 +100,10 @@
         });
       const catalog = createCatalog();
       const from = Math.min(start, events.length);
-      catalog.takeServers({revision: from, servers: listed(from)}, 0);
+      catalog.takeServers(
+        {revision: from, servers: listed(from), evacuated: []},
+        0,
+      );
       const feed = (after: number) =>
         catalog.takeEvents(
           {
@@ -111,6 +117,7 @@
               .slice(after)
               .filter(({kind}) => kind === 'removed')
               .map(({id, revision}) => ({id, revision})),
+            domains: [],
           },
           1,
         );
@@ -139,7 +146,7 @@
   };
   holder.takeRoutes({version: 2, routes: [route]}, 1_000);
   const servers = [serverOf('i-1', 3), serverOf('i-2', 4, {state: 'draining'})];
-  holder.takeServers({revision: 9, servers}, 1_500);
+  holder.takeServers({revision: 9, servers, evacuated: []}, 1_500);
   const puller = createCatalog();
   applyUpdate(puller, updateFor(holder, NOTHING, 2_000), 7_000);
   const {routesConfirmedAt, serversConfirmedAt, ...held} = puller.stamp;
@@ -168,7 +175,7 @@
 
 test("a peer's revision is not taken before its routes are", () => {
   const catalog = createCatalog();
-  catalog.takeServers({revision: 5, servers: []}, 0);
+  catalog.takeServers({revision: 5, servers: [], evacuated: []}, 0);
   catalog.takeRoutes({version: 1, routes: []}, 0);
   const digest = catalog.stamp.serverDigest;
   catalog.confirmServers({revision: 9, digest, routeVersion: 2}, 100);
@@ -177,6 +184,99 @@
   assert.equal(catalog.stamp.serverRevision, 9);
 });
 
+const DOMAIN_CHANGES = fc.array(
+  fc.record({
+    failureDomain: fc.constantFrom('a', 'b', 'c'),
+    isEvacuated: fc.boolean(),
+  }),
+  {maxLength: 12},
+);
+
+/** Evacuated domains after some changes, of revisions 1, 2 and so on. */
+function evacuatedAfter(changes: readonly DomainChange[]): string[] {
+  const states = new Map(
+    changes.map(change => [change.failureDomain, change.isEvacuated]),
+  );
+  return [...states.keys()].filter(name => states.get(name) === true).sort();
+}
+
+test('evacuations taken twice, late, in part or from a peer lead to those of the store', () => {
+  fc.assert(
+    fc.property(
+      DOMAIN_CHANGES,
+      fc.array(fc.tuple(fc.nat(12), fc.nat(12)), {maxLength: 6}),
+      fc.boolean(),
+      (changes, windows, isWhole) => {
+        const catalog = createCatalog();
+        const holder = createCatalog();
+        const none = {servers: [], evacuated: []};
+        [catalog, holder].forEach(each =>
+          each.takeServers({revision: 1, ...none}, 0),
+        );
+        const feed = (to: Catalog, from: number, upTo: number) =>
+          to.takeEvents(
+            {
+              revision: upTo + 1,
+              routes: undefined,
+              written: [],
+              removed: [],
+              domains: changes.slice(from, upTo),
+            },
+            1,
+          );
+        // Waits begin at a revision that is held, and some answers come late.
+        windows.forEach(([from, upTo]) => {
+          const held = catalog.stamp.serverRevision - 1;
+          feed(catalog, Math.min(from, held), Math.min(upTo, changes.length));
+        });
+        feed(holder, 0, changes.length);
+        const {serverRevision, serverDigest} = catalog.stamp;
+        const from = isWhole ? 0 : serverRevision;
+        const held = {...NOTHING, serverRevision: from, serverDigest};
+        applyUpdate(catalog, updateFor(holder, held, 2), 2);
+        const expected = evacuatedAfter(changes);
+        assert.deepEqual(catalog.evacuatedDomains().sort(), expected);
+        assert.equal(catalog.stamp.serverDigest, holder.stamp.serverDigest);
+      },
+    ),
+    {seed: 21, numRuns: 500},
+  );
+});
+
+test('catalogs with other evacuations have other digests, so that one pulls', () => {
+  const [calm, evacuated] = [[], ['a']].map(domains => {
+    const catalog = createCatalog();
+    const servers = [serverOf('i-1', 1)];
+    catalog.takeServers({revision: 1, servers, evacuated: domains}, 0);
+    return catalog;
+  });
+  assert.notEqual(calm.stamp.serverDigest, evacuated.stamp.serverDigest);
+});
+
+test('an answer that was sent before a restoration does not evacuate again', () => {
+  const holder = createCatalog();
+  const late = createCatalog();
+  const servers = [serverOf('i-1', 1)];
+  holder.takeServers({revision: 5, servers, evacuated: []}, 0);
+  late.takeServers({revision: 3, servers, evacuated: ['a']}, 0);
+  const held = {routeVersion: 0, serverRevision: 2, serverDigest: 0};
+  applyUpdate(holder, updateFor(late, held, 1), 1);
+  assert.deepEqual(holder.evacuatedDomains(), []);
+  assert.deepEqual(openIds(holder), ['i-1']);
+});
+
+test('a lapsed server of an evacuated domain gets no openings', () => {
+  const catalog = createCatalog();
+  const lapsed = serverOf('i-1', 1, {failureDomain: 'b'});
+  const other = serverOf('i-2', 2);
+  const servers = [lapsed, other];
+  catalog.takeServers({revision: 2, servers, evacuated: []}, 0);
+  // The store was away: the entry may have lapsed although its server lives.
+  const after = {revision: 5, servers: [other], evacuated: ['b']};
+  catalog.takeServers(after, 10_000);
+  assert.deepEqual(openIds(catalog), ['i-2']);
+});
+
 test('a pull after one change carries that change alone, and leads to the same list', () => {
   const holder = createCatalog();
   const puller = createCatalog();
@@ -184,7 +284,7 @@
     serverOf(`i-${index}`, index + 1),
   );
   [holder, puller].forEach(catalog =>
-    catalog.takeServers({revision: 50, servers: first}, 0),
+    catalog.takeServers({revision: 50, servers: first, evacuated: []}, 0),
   );
   holder.takeEvents(
     {
@@ -195,6 +295,7 @@
         {...first[7], state: 'draining', revision: 52},
       ],
       removed: [{id: 'i-3', revision: 53}],
+      domains: [],
     },
     100,
   );
@@ -215,7 +316,7 @@
   fc.assert(
     fc.property(EVENTS, changes => {
       const catalog = createCatalog();
-      catalog.takeServers({revision: 1, servers: []}, 0);
+      catalog.takeServers({revision: 1, servers: [], evacuated: []}, 0);
       changes.forEach(({id, kind}, index) => {
         const revision = index + 2;
         const isRemoved = kind === 'removed';
@@ -225,13 +326,14 @@
             routes: undefined,
             written: isRemoved ? [] : [stateOf(id, kind, revision)],
             removed: isRemoved ? [{id, revision}] : [],
+            domains: [],
           },
           revision,
         );
       });
       const copy = createCatalog();
       const servers = catalog.allServers().reverse();
-      copy.takeServers({revision: 99, servers}, 0);
+      copy.takeServers({revision: 99, servers, evacuated: []}, 0);
       assert.equal(copy.stamp.serverDigest, catalog.stamp.serverDigest);
     }),
     {seed: 9, numRuns: 300},
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -11,7 +11,7 @@
   type CatalogEvents,
   type CatalogServer,
   type CatalogStamp,
-  type RemovedServer,
+  type DomainChange,
   type RouteListing,
   type ServerListing,
 } from './records.js';
@@ -28,6 +28,15 @@
   readonly changed: readonly CatalogServer[];
   /** Servers that left the list. */
   readonly departed: readonly CatalogServer[];
+  /** Failure domains that were evacuated or restored. */
+  readonly domains: readonly DomainChange[];
+}
+
+/** What leads the servers and the evacuated domains to a revision. */
+interface ListingChange extends ServerChanges {
+  readonly revision: number;
+  /** Changes of domains, the newest of each last. */
+  readonly domains: readonly DomainChange[];
 }
 
 /** What another daemon told of the servers that it holds. */
@@ -130,10 +139,18 @@
     const listed = this.servers.openServers(service);
     const lapsed = this.departures
       .lapsed()
-      .filter(server => server.service === service);
+      .filter(
+        server =>
+          server.service === service && !this.servers.isEvacuated(server),
+      );
     return lapsed.length === 0 ? listed : [...listed, ...lapsed];
   }
 
+  /** Failure domains whose servers take no new flows. */
+  evacuatedDomains(): string[] {
+    return this.servers.evacuatedDomains();
+  }
+
   /** The cookie that names a server at a route, or undefined if there is none. */
   cookieOf(server: CatalogServer, route: KnownRoute): number | undefined {
     return this.cookies.cookieOf(server, this.maskOf(route));
@@ -192,6 +209,7 @@
       isFirstListing: false,
       changed: [],
       departed: [],
+      domains: [],
     });
   }
 
@@ -204,17 +222,19 @@
 
   /** Takes a list of servers read at `confirmedAt` (monotonic milliseconds). */
   takeServers(listing: ServerListing, confirmedAt: number): void {
-    if (listing.revision < this.serverRevision) {
+    const {revision, servers, evacuated} = listing;
+    if (revision < this.serverRevision) {
       return;
     }
     if (this.serverRevision === 0) {
-      this.servers.startAt(listing.revision);
+      this.servers.startAt(revision);
     }
-    const present = new Set(listing.servers.map(({id}) => id));
+    const present = new Set(servers.map(({id}) => id));
     const removed = this.allServers()
       .filter(({id}) => !present.has(id))
-      .map(({id}) => ({id, revision: listing.revision}));
-    this.apply(listing.servers, removed, listing.revision, confirmedAt);
+      .map(({id}) => ({id, revision}));
+    const domains = this.changesOfDomainsTo(evacuated);
+    this.apply({written: servers, removed, domains, revision}, confirmedAt);
   }
 
   /**
@@ -230,27 +250,25 @@
 
   /** Takes what the store reported since the revision that is held. */
   takeEvents(events: CatalogEvents, confirmedAt: number): void {
-    const {written, removed, revision} = events;
     if (events.routes === undefined) {
       this.routes.confirm(confirmedAt);
     } else {
       this.takeRoutes(events.routes, confirmedAt);
     }
-    this.takeServerChanges({written, removed}, revision, confirmedAt);
+    this.takeListingChange(events, confirmedAt);
   }
 
-  /** Takes changes of the servers that lead to a revision; older ones are left. */
+  /**
+   * Takes changes of the servers, and the domains that were evacuated, as a peer held
+   * them at a revision; what is older than what is held is left.
+   */
   takeServerChanges(
-    {written, removed}: ServerChanges,
-    revision: number,
+    changes: ServerChanges,
+    {revision, evacuated}: Omit<ServerListing, 'servers'>,
     confirmedAt: number,
   ): void {
-    this.apply(
-      written.filter(server => isLater(server, this.servers.get(server.id))),
-      removed.filter(entry => isLater(entry, this.servers.get(entry.id))),
-      Math.max(revision, this.serverRevision),
-      confirmedAt,
-    );
+    const domains = this.changesOfDomainsTo(evacuated);
+    this.takeListingChange({...changes, revision, domains}, confirmedAt);
   }
 
   /** Changes of the servers after a revision, if they are still known. */
@@ -278,6 +296,37 @@
     this.noteServersConfirmed(at);
   }
 
+  /**
+   * Servers have a revision each. The domains are held as of the revision of the whole
+   * list, so changes that lead to an earlier one are known already.
+   */
+  private takeListingChange(
+    {written, removed, domains, revision}: ListingChange,
+    confirmedAt: number,
+  ): void {
+    const change = {
+      written: written.filter(server =>
+        isLater(server, this.servers.get(server.id)),
+      ),
+      removed: removed.filter(entry =>
+        isLater(entry, this.servers.get(entry.id)),
+      ),
+      domains: revision < this.serverRevision ? [] : domains,
+      revision: Math.max(revision, this.serverRevision),
+    };
+    this.apply(change, confirmedAt);
+  }
+
+  /** What leads the evacuated domains to a list of all of them. */
+  private changesOfDomainsTo(evacuated: readonly string[]): DomainChange[] {
+    const listed = new Set(evacuated);
+    const restored = this.evacuatedDomains().filter(name => !listed.has(name));
+    return [
+      ...evacuated.map(name => ({failureDomain: name, isEvacuated: true})),
+      ...restored.map(name => ({failureDomain: name, isEvacuated: false})),
+    ];
+  }
+
   /** Departed servers that no flow can name any more lose their cookies. */
   private noteServersConfirmed(at: number): void {
     this.serversConfirmedAt = Math.max(this.serversConfirmedAt, at);
@@ -286,12 +335,8 @@
   }
 
   /** Brings the servers to a revision; an id may be written and then removed. */
-  private apply(
-    written: readonly CatalogServer[],
-    removed: readonly RemovedServer[],
-    revision: number,
-    confirmedAt: number,
-  ): void {
+  private apply(change: ListingChange, confirmedAt: number): void {
+    const {written, removed, revision} = change;
     const isFirstListing = this.serverRevision === 0;
     this.serverRevision = revision;
     const changed = written.filter(server => this.servers.isNews(server));
@@ -300,8 +345,11 @@
     const departed = removed.flatMap(({id, revision: at}) =>
       this.depart(id, at, confirmedAt),
     );
-    if (changed.length > 0 || departed.length > 0) {
-      this.tell({isFirstListing, changed, departed});
+    const domains = change.domains.filter(domain =>
+      this.servers.changeDomain(domain),
+    );
+    if (changed.length + departed.length + domains.length > 0) {
+      this.tell({isFirstListing, changed, departed, domains});
     }
   }
 
--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -305,9 +305,10 @@
    */
   private takeEvents(events: CatalogEvents, sentAt: number): undefined {
     const {catalog, clock} = this.options;
-    const {routes, written, removed} = events;
+    const {routes, written, removed, domains} = events;
     const isEmpty =
-      routes === undefined && written.length === 0 && removed.length === 0;
+      routes === undefined &&
+      written.length + removed.length + domains.length === 0;
     if (isEmpty) {
       catalog.confirmAll(sentAt);
     } else {
--- a/src/catalog/records.ts
+++ b/src/catalog/records.ts
@@ -24,10 +24,14 @@
   readonly revision: number;
 }
 
-/** All backend servers as of one revision of the store. */
+/**
+ * All backend servers as of one revision of the store, and the failure domains that the
+ * operators have evacuated: their servers take no new flows until they are restored.
+ */
 export interface ServerListing {
   readonly revision: number;
   readonly servers: readonly CatalogServer[];
+  readonly evacuated: readonly string[];
 }
 
 /** A service and its share of a route's new flows. */
@@ -51,6 +55,12 @@
   readonly revision: number;
 }
 
+/** The operators have evacuated a failure domain, or restored it. */
+export interface DomainChange {
+  readonly failureDomain: string;
+  readonly isEvacuated: boolean;
+}
+
 /** What the store reported since an earlier revision. */
 export interface CatalogEvents {
   /** All events up to this revision are in it. */
@@ -60,6 +70,8 @@
   /** Servers whose entries were written, the newest write of each last. */
   readonly written: readonly CatalogServer[];
   readonly removed: readonly RemovedServer[];
+  /** Domains that were evacuated or restored, the newest change of each last. */
+  readonly domains: readonly DomainChange[];
 }
 
 /** One version of the operators' routes. */
@@ -76,7 +88,7 @@
   readonly routesConfirmedAt: number;
   /** Revision of the newest list of servers; 0: none yet. */
   readonly serverRevision: number;
-  /** Hash over all servers and their states. */
+  /** Hash over all servers, their states and the evacuated domains. */
   readonly serverDigest: number;
   /** Monotonic milliseconds at which a read last confirmed the servers. */
   readonly serversConfirmedAt: number;
--- a/src/catalog/server-table.ts
+++ b/src/catalog/server-table.ts
@@ -1,13 +1,14 @@
 /**
- * The listed backend servers of one daemon, with what is worked out from them:
- * who takes new flows, a digest, and what changed since a revision. Each change
- * costs the same however many servers there are.
+ * The listed backend servers of one daemon and the evacuated failure domains, with
+ * what is worked out from them: who takes new flows, a digest, and what changed since
+ * a revision. Each change costs the same however many servers there are.
  */
 import type {Hasher} from '../ports/hasher.js';
 import {destinationKey} from '../routing/flow-key.js';
 import {
   ServerState,
   type CatalogServer,
+  type DomainChange,
   type RemovedServer,
 } from './records.js';
 
@@ -16,7 +17,7 @@
 /** Removals remembered for peers that pull; older ones cost them the whole list. */
 const MAXIMUM_REMOVALS = 2_000;
 
-/** What changed since a revision. */
+/** Servers that changed since a revision. */
 export interface ServerChanges {
   readonly written: readonly CatalogServer[];
   readonly removed: readonly RemovedServer[];
@@ -31,10 +32,14 @@
   private readonly succeeded = new Set<string>();
   /** Listed servers that take new flows, for the services that were asked for. */
   private readonly open = new Map<string, readonly CatalogServer[]>();
+  private readonly evacuated = new Set<string>();
   private removals: RemovedServer[] = [];
   /** All removals after this revision are remembered. */
   private removalsSince = 0;
-  /** Exclusive or over the hashes of all listed servers, as an unsigned number. */
+  /**
+   * Exclusive or over the hashes of all listed servers and evacuated domains, as an
+   * unsigned number.
+   */
   private combinedHash = 0;
 
   private constructor(private readonly hasher: Hasher) {}
@@ -44,7 +49,7 @@
     return new ServerTable(hasher);
   }
 
-  /** The same for equal sets of servers, in whatever order they came. */
+  /** The same for equal sets of servers and domains, in whatever order they came. */
   get digest(): number {
     return this.combinedHash;
   }
@@ -95,6 +100,31 @@
     this.rememberRemoval({id: server.id, revision});
   }
 
+  /** The failure domains whose servers take no new flows. */
+  evacuatedDomains(): string[] {
+    return [...this.evacuated];
+  }
+
+  /** Whether a server's failure domain is evacuated. */
+  isEvacuated({failureDomain}: CatalogServer): boolean {
+    return this.evacuated.has(failureDomain);
+  }
+
+  /** Takes a change of a failure domain; false if it is none. */
+  changeDomain({failureDomain, isEvacuated}: DomainChange): boolean {
+    if (this.evacuated.has(failureDomain) === isEvacuated) {
+      return false;
+    }
+    if (isEvacuated) {
+      this.evacuated.add(failureDomain);
+    } else {
+      this.evacuated.delete(failureDomain);
+    }
+    this.toggle(`evacuated/${failureDomain}`);
+    this.open.clear();
+    return true;
+  }
+
   /** Notes that the table is complete as of a revision, and not before. */
   startAt(revision: number): void {
     this.removalsSince = revision;
@@ -110,6 +140,7 @@
       server =>
         server.service === service &&
         server.state === ServerState.READY &&
+        !this.isEvacuated(server) &&
         !this.succeeded.has(server.id),
     );
     this.open.set(service, open);
@@ -158,7 +189,11 @@
 
   /** Adds a server's record to the digest, or takes it out again. */
   private toggleInDigest({id, state}: CatalogServer): void {
-    const hash = this.hasher.hashText(`${id}/${state}`, DIGEST_SEED);
+    this.toggle(`${id}/${state}`);
+  }
+
+  private toggle(record: string): void {
+    const hash = this.hasher.hashText(record, DIGEST_SEED);
     this.combinedHash = (this.combinedHash ^ hash) >>> 0;
   }
 }
--- a/src/cli/flow-story.spec.ts
+++ b/src/cli/flow-story.spec.ts
@@ -24,7 +24,7 @@
     failureDomains: ['a', 'b'],
     services: [{name: 'pay', servers: 3, slots: 2, workMs: 20}],
     routes: [PAY],
-    bounds: {drainMs: 3_000, configurationMs: 3_000},
+    bounds: {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000},
   };
   return CookieWorld.create(plan, await XxhashHasher.create());
 }
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -4,8 +4,9 @@
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
 import {OutageKind} from '../../standins/catalog-store.js';
 import {CookieWorld, type WorldPlan} from '../../standins/cookie-world.js';
+import {strike} from '../../standins/world-faults.js';
 
-const BOUNDS = {drainMs: 3_000, configurationMs: 3_000};
+const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
 const PAY = {
   address: 0xc6120001,
   port: 443,
@@ -307,77 +308,6 @@
   {minLength: 2, maxLength: 8},
 );
 
-type Fault = {
-  kind: string;
-  which: number;
-  lastsMs: number;
-  afterMs: number;
-};
-
-/** Brings a fault about and has it end by itself. */
-function strike(world: CookieWorld, fault: Fault): void {
-  const names = [...world.daemons.keys()];
-  const name = names[fault.which % names.length];
-  const later = (task: () => void) =>
-    world.clock.callAt(world.clock.now() + fault.lastsMs, task);
-  const servers = world.liveServers(fault.which % 3 === 0 ? 'docs' : 'pay');
-  const server = servers[fault.which % Math.max(1, servers.length)];
-  const spare = servers.length > 1;
-  const strikes: Record<string, () => void> = {
-    kill: () => {
-      world.killDaemon(name);
-      later(() => void world.startDaemon(name));
-    },
-    stop: () => void world.stopDaemon(name).then(() => world.startDaemon(name)),
-    'cut-peers': () => {
-      world.cutFromPeers(name, true);
-      later(() => world.cutFromPeers(name, false));
-    },
-    'cut-store': () => {
-      world.store.outages.set(name, OutageKind.SILENT);
-      later(() => world.store.outages.delete(name));
-    },
-    'store-down': () => {
-      world.store.outages.set('', OutageKind.REFUSED);
-      later(() => world.store.outages.delete(''));
-    },
-    'store-slow': () => {
-      world.store.answerMs = 300;
-      later(() => {
-        world.store.answerMs = 4;
-      });
-    },
-    forget: () => world.store.forgetHistory(),
-    drain: () => {
-      if (spare) {
-        world.drainServer(server, 4_000);
-        world.startServer(server.entry.service);
-      }
-    },
-    crash: () => {
-      if (spare) {
-        world.crashServer(server, fault.lastsMs % 2 === 0, 2_300);
-      }
-    },
-    pause: () => world.pauseServer(server, fault.lastsMs),
-    'cut-servers': () => {
-      world.cutFromServers.add(name);
-      later(() => world.cutFromServers.delete(name));
-    },
-    reuse: () => {
-      if (spare) {
-        world.crashServer(server, true, 2_300);
-        const other = server.entry.service === 'pay' ? 'docs' : 'pay';
-        later(() => world.startServer(other, server.entry.address));
-      }
-    },
-    add: () => void world.startServer('pay'),
-    routes: () =>
-      world.publish(world.publishedRoutes.length > 1 ? [PAY] : [PAY, DOCS]),
-  };
-  strikes[fault.kind]();
-}
-
 test('no promise is broken under any mix of faults', async () => {
   const hasher = await XxhashHasher.create();
   await fc.assert(
@@ -388,7 +318,7 @@
         const world = await CookieWorld.create({...PLAN, seed}, hasher);
         for (const fault of faults) {
           await callFor(world, fault.afterMs, 50);
-          strike(world, fault);
+          strike(world, fault, [PAY, DOCS]);
         }
         await callFor(world, 5_000, 50);
         const flows = world.broken.filter(
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -373,6 +373,12 @@
     change.departed.forEach(({id, service}) =>
       log.info('server-departed', {server: id, service}),
     );
+    change.domains.forEach(({failureDomain, isEvacuated}) =>
+      log.warn(isEvacuated ? 'domain-evacuated' : 'domain-restored', {
+        failureDomain,
+        ...this.versions(),
+      }),
+    );
     this.reach.noteListing(change.changed, change.departed);
     if (change.departed.length > 0) {
       this.work.retain(this.catalog.allServers().map(({id}) => id));
--- a/src/entry/large-fleet.spec.ts
+++ b/src/entry/large-fleet.spec.ts
@@ -15,7 +15,7 @@
   shares: [{service: 'pay', weight: 1}],
   repeatable: false,
 };
-const BOUNDS = {drainMs: 3_000, configurationMs: 3_000};
+const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
 const CALM_MS = 20_000;
 
 /** A fleet that has started and serves nobody. */
--- a/src/entry/settings-file.spec.ts
+++ b/src/entry/settings-file.spec.ts
@@ -22,7 +22,12 @@
   fabric: {form: 'cookies'},
   fleet: {'first-start': 'true', seeds: '10.1.0.10:8166,10.2.0.40:8166'},
   store: {address: '10.200.1.7:8169'},
-  limits: {stop: '6s', 'flow-lifetime': '60s', 'in-force': '3000ms'},
+  limits: {
+    stop: '6s',
+    'flow-lifetime': '60s',
+    'in-force': '3000ms',
+    'evacuation-ms': '',
+  },
   'not-known': {key: 'value'},
 };
 
--- a/src/entry/settings-file.ts
+++ b/src/entry/settings-file.ts
@@ -50,7 +50,10 @@
     storeAddress: reader.socket('store', 'address'),
     stopLimitMs: reader.duration('limits', 'stop'),
     flowLifetimeMs: reader.duration('limits', 'flow-lifetime'),
-    inForceLimitMs: reader.duration('limits', 'in-force'),
+    inForceLimitMs: Math.min(
+      reader.duration('limits', 'in-force'),
+      reader.milliseconds('limits', 'evacuation-ms'),
+    ),
   };
 }
 
@@ -103,6 +106,14 @@
     );
   }
 
+  /** A number of milliseconds above 0; Infinity when it is missing. */
+  milliseconds(section: string, key: string): number {
+    const text = this.value(section, key);
+    const value = text === '' ? Infinity : Number(text);
+    const right = 'write a number of milliseconds above 0, or leave it out';
+    return value > 0 ? value : this.fault(section, key, Infinity, right);
+  }
+
   /** A port from 1 up. */
   port(section: string, key: string): number {
     const value = Number(this.value(section, key));
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -26,6 +26,9 @@
   readonly stopLimitMs: number;
   /** Longest life of a flow, in milliseconds. */
   readonly flowLifetimeMs: number;
-  /** Time in which a version has to be in force everywhere, in milliseconds. */
+  /**
+   * Time in which a version, and the evacuation of a failure domain, have to be in
+   * force everywhere, in milliseconds.
+   */
   readonly inForceLimitMs: number;
 }
--- a/src/entry/silent-servers.spec.ts
+++ b/src/entry/silent-servers.spec.ts
@@ -9,7 +9,7 @@
 import type {CookieServer} from '../../standins/cookie-servers.js';
 import {CookieWorld} from '../../standins/cookie-world.js';
 
-const BOUNDS = {drainMs: 3_000, configurationMs: 3_000};
+const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
 const PAY = {
   address: 0xc6120001,
   port: 443,
--- a/src/entry/start.spec.ts
+++ b/src/entry/start.spec.ts
@@ -5,7 +5,7 @@
 import {OutageKind} from '../../standins/catalog-store.js';
 import {CookieWorld} from '../../standins/cookie-world.js';
 
-const BOUNDS = {drainMs: 3_000, configurationMs: 3_000};
+const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
 const PAY = {
   address: 0xc6120001,
   port: 443,
--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -62,7 +62,7 @@
   const work = ServerWorkLedger.create(hasher);
   const silent: string[] = [];
   const unreachable = new Set<string>();
-  catalog.takeServers({revision: 1, servers}, clock.now());
+  catalog.takeServers({revision: 1, servers, evacuated: []}, clock.now());
   catalog.takeRoutes({version: 1, routes: [ROUTE, DOCS]}, clock.now());
   const router = CookieRouter.create({
     catalog,
--- a/standins/catalog-store.ts
+++ b/standins/catalog-store.ts
@@ -6,6 +6,7 @@
 import type {
   CatalogEvents,
   CatalogServer,
+  DomainChange,
   RouteListing,
 } from '../src/catalog/records.js';
 import {
@@ -43,6 +44,7 @@
   readonly routes?: RouteListing;
   readonly written?: CatalogServer;
   readonly removed?: string;
+  readonly domain?: DomainChange;
 }
 
 /** The store; daemons reach it through sources. */
@@ -60,6 +62,7 @@
   private revision = 1;
   private routes: RouteListing | undefined;
   private readonly servers = new Map<string, CatalogServer>();
+  private readonly evacuated = new Set<string>();
   private events: StoredEvent[] = [];
   private forgottenUpTo = 0;
   private readonly waiting = new Set<() => void>();
@@ -105,6 +108,16 @@
     }
   }
 
+  /** Evacuates a failure domain, whether servers are there or not. */
+  evacuate(failureDomain: string): void {
+    this.changeDomain({failureDomain, isEvacuated: true});
+  }
+
+  /** Restores a failure domain. */
+  restore(failureDomain: string): void {
+    this.changeDomain({failureDomain, isEvacuated: false});
+  }
+
   /** The entry of a server. */
   serverOf(id: string): CatalogServer | undefined {
     return this.servers.get(id);
@@ -125,7 +138,9 @@
   /** Everything as it is now. */
   read(): CatalogReading {
     const {revision, routes} = this;
-    return {routes, servers: {revision, servers: [...this.servers.values()]}};
+    const servers = [...this.servers.values()];
+    const evacuated = [...this.evacuated];
+    return {routes, servers: {revision, servers, evacuated}};
   }
 
   /** Everything as it was `lagMs` ago. */
@@ -147,6 +162,7 @@
       removed: events.flatMap(({removed, revision: at}) =>
         removed === undefined ? [] : [{id: removed, revision: at}],
       ),
+      domains: events.flatMap(({domain}) => domain ?? []),
     };
   }
 
@@ -156,6 +172,17 @@
     return () => this.waiting.delete(task);
   }
 
+  private changeDomain(domain: DomainChange): void {
+    this.keepOld();
+    this.revision += 1;
+    if (domain.isEvacuated) {
+      this.evacuated.add(domain.failureDomain);
+    } else {
+      this.evacuated.delete(domain.failureDomain);
+    }
+    this.note({revision: this.revision, domain});
+  }
+
   /** Keeps the state that a change is about to end. */
   private keepOld(): void {
     const now = this.clock.now();
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -153,6 +153,18 @@
     this.store.putRoutes(this.routes);
   }
 
+  /** Evacuates a failure domain of servers. */
+  evacuate(failureDomain: string): void {
+    this.judge.noteEvacuated(failureDomain);
+    this.store.evacuate(failureDomain);
+  }
+
+  /** Restores a failure domain of servers. */
+  restore(failureDomain: string): void {
+    this.judge.noteRestored(failureDomain);
+    this.store.restore(failureDomain);
+  }
+
   /** The promises that were seen broken. */
   get broken(): readonly BrokenPromise[] {
     return this.judge.broken;
@@ -181,6 +193,11 @@
     );
   }
 
+  /** A server by id, whether it runs or not. */
+  serverOf(id: string): CookieServer | undefined {
+    return this.servers.find(id);
+  }
+
   /** Servers of a service that neither drain nor have ended. */
   liveServers(service: string): CookieServer[] {
     return this.servers.live(service);
@@ -322,7 +339,10 @@
         capacity: 500,
         stopLimitMs: 6_000,
         flowLifetimeMs: 60_000,
-        inForceLimitMs: this.plan.bounds.configurationMs,
+        inForceLimitMs: Math.min(
+          this.plan.bounds.configurationMs,
+          this.plan.bounds.evacuationMs,
+        ),
       },
       running: undefined,
       clock: ProcessClock.create(this.clock),
--- a/standins/promise-judge.ts
+++ b/standins/promise-judge.ts
@@ -22,11 +22,13 @@
 export interface PromiseBounds {
   readonly drainMs: number;
   readonly configurationMs: number;
+  readonly evacuationMs: number;
 }
 
 /** A promise that was seen broken. */
 export interface BrokenPromise {
-  readonly promise: 'route' | 'drain' | 'configuration' | 'flow' | 'reset';
+  readonly promise:
+    'route' | 'drain' | 'configuration' | 'evacuation' | 'flow' | 'reset';
   readonly atMs: number;
   readonly detail: string;
 }
@@ -47,6 +49,7 @@
   private readonly allowed = new Map<number, Set<string>>();
   private readonly removedRoutes = new Map<number, number>();
   private readonly drainingSince = new Map<string, number>();
+  private readonly evacuatedSince = new Map<string, number>();
   private routes: readonly CatalogRoute[] = [];
 
   private constructor(private readonly options: PromiseJudgeOptions) {}
@@ -73,6 +76,17 @@
     this.drainingSince.set(server, this.options.clock.now());
   }
 
+  /** Notes that a failure domain was evacuated now. */
+  noteEvacuated(failureDomain: string): void {
+    const since = this.evacuatedSince.get(failureDomain);
+    this.evacuatedSince.set(failureDomain, since ?? this.options.clock.now());
+  }
+
+  /** Notes that a failure domain was restored now. */
+  noteRestored(failureDomain: string): void {
+    this.evacuatedSince.delete(failureDomain);
+  }
+
   /** Checks a packet that reached the server it was meant for. */
   judgeArrival(packet: CookiePacket, server: CookieServer): void {
     const {entry} = server;
@@ -129,11 +143,16 @@
     key: number,
   ): void {
     const now = this.options.clock.now();
-    const {drainMs, configurationMs} = this.options.bounds;
-    const drainedAt = this.drainingSince.get(entry.id) ?? Infinity;
+    const {drainMs, configurationMs, evacuationMs} = this.options.bounds;
+    const {id, failureDomain} = entry;
+    const evacuatedAt = this.evacuatedSince.get(failureDomain) ?? Infinity;
+    const drainedAt = this.drainingSince.get(id) ?? Infinity;
     const removedAt = this.removedRoutes.get(key) ?? Infinity;
     if (now - drainedAt > drainMs) {
-      this.note('drain', `${flowName(packet)} opened at ${entry.id}`);
+      this.note('drain', `${flowName(packet)} opened at ${id}`);
+    }
+    if (now - evacuatedAt > evacuationMs) {
+      this.note('evacuation', `${flowName(packet)} opened at ${id}`);
     }
     if (now - removedAt > configurationMs) {
       this.note('configuration', `${flowName(packet)} has no route any more`);
