Starts take copies of the catalog as a tree, where links are slow

Cause: after the loss of all, each of 90 daemons reads everything from the store: 600 kB with 1,600 routes, 0.7 s on a link of 7 Mbit/s; 253 requests of 1,421 were late in the two seconds after the return. A peer's copy of the same has 55 kB, but the three known addresses gave it to all that asked, at once.

Change: a daemon on a slow link leaves peers a head start of the time that a megabit takes there; ample daemons have their copy from the store by then and tell those that said they have none. A daemon whose link is taken by copies already names others that have theirs before it could begin. Beats come each 30 ms while a starting daemon hears of nobody. The link's rate is a setting.

`weldyard status` on logs shows the domains that each daemon holds to be evacuated.

--- a/src/adapters/datagram-fleet.spec.ts
+++ b/src/adapters/datagram-fleet.spec.ts
@@ -57,11 +57,16 @@
   const heard: Array<[number, Beat]> = [];
   const ignore = {
     onBeat: () => undefined,
-    onPull: () => ({routes: undefined, servers: undefined}),
+    onPull: () => ({
+      routes: undefined,
+      servers: undefined,
+      other: 0,
+      waitMs: 0,
+    }),
   };
   await first.fleet.serve({
     onBeat: (sender, beat) => heard.push([sender, beat]),
-    onPull: ({routeVersion, serverRevision, serverDigest}) => ({
+    onPull: ({asker, routeVersion, serverRevision, serverDigest}) => ({
       routes: {
         version: routeVersion + serverRevision,
         ageMs: serverDigest,
@@ -69,6 +74,8 @@
         coldServices: [],
       },
       servers: undefined,
+      other: asker,
+      waitMs: 5,
     }),
   });
   await first.fleet.servePulls();
@@ -80,11 +87,17 @@
 
     const pulled = await second.fleet.pull(
       FIRST,
-      {routeVersion: 41, serverRevision: 1, serverDigest: 3},
+      {
+        asker: SECOND,
+        routeVersion: 41,
+        serverRevision: 1,
+        serverDigest: 3,
+      },
       clock.now() + 1_000,
     );
     assert.equal(pulled._unsafeUnwrap().routes?.version, 42);
     assert.equal(pulled._unsafeUnwrap().routes?.ageMs, 3);
+    assert.equal(pulled._unsafeUnwrap().other, SECOND);
 
     const stranger = dgram.createSocket('udp4');
     stranger.send(Buffer.from([0xff, 0xff, 0xff]), PORT, '127.0.0.2');
@@ -108,7 +121,7 @@
   const {fleet} = createFleet(SECOND);
   const pulled = await fleet.pull(
     FIRST,
-    {routeVersion: 0, serverRevision: 0, serverDigest: 0},
+    {asker: 1, routeVersion: 0, serverRevision: 0, serverDigest: 0},
     clock.now() + 500,
   );
   assert.equal(pulled._unsafeUnwrapErr().type, 'PeerUnavailable');
--- a/src/adapters/datagram-fleet.ts
+++ b/src/adapters/datagram-fleet.ts
@@ -82,6 +82,7 @@
     deadline: number,
   ): ResultAsync<CatalogUpdate, PeerUnavailable> {
     const query = new URLSearchParams({
+      asker: String(held.asker),
       routes: String(held.routeVersion),
       revision: String(held.serverRevision),
       servers: String(held.serverDigest),
@@ -153,6 +154,7 @@
   }
   const held = new URLSearchParams(query);
   const update = handlers.onPull({
+    asker: Number(held.get('asker')),
     routeVersion: Number(held.get('routes')),
     serverRevision: Number(held.get('revision')),
     serverDigest: Number(held.get('servers')),
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -55,6 +55,8 @@
     servers: lacksServers
       ? encodeServers(catalog, held.serverRevision, now)
       : undefined,
+    other: 0,
+    waitMs: 0,
   };
 }
 
--- a/src/catalog/catalog.spec.ts
+++ b/src/catalog/catalog.spec.ts
@@ -8,7 +8,12 @@
 
 const hasher = await XxhashHasher.create();
 
-const NOTHING = {routeVersion: 0, serverRevision: 0, serverDigest: 0};
+const NOTHING = {
+  asker: 1,
+  routeVersion: 0,
+  serverRevision: 0,
+  serverDigest: 0,
+};
 
 function createCatalog(): Catalog {
   return Catalog.create({hasher, flowLifetimeMs: 60_000});
@@ -161,17 +166,12 @@
   assert.equal(serversConfirmedAt, 6_500);
   const [pulled] = puller.allRoutes();
   assert.deepEqual([...pulled.allowedServices], ['docs']);
-  assert.deepEqual(
-    updateFor(
-      holder,
-      {routeVersion: 2, serverRevision: 9, serverDigest: stamp.serverDigest},
-      0,
-    ),
-    {
-      routes: undefined,
-      servers: undefined,
-    },
-  );
+  assert.deepEqual(updateFor(holder, {...NOTHING, ...held}, 0), {
+    routes: undefined,
+    servers: undefined,
+    other: 0,
+    waitMs: 0,
+  });
 });
 
 test("a peer's revision is not taken before its routes are", () => {
@@ -260,7 +260,7 @@
   const servers = [serverOf('i-1', 1)];
   holder.takeServers({revision: 5, servers, evacuated: []}, 0);
   late.takeServers({revision: 3, servers, evacuated: ['a']}, 0);
-  const held = {routeVersion: 0, serverRevision: 2, serverDigest: 0};
+  const held = {...NOTHING, serverRevision: 2};
   applyUpdate(holder, updateFor(late, held, 1), 1);
   assert.deepEqual(holder.evacuatedDomains(), []);
   assert.deepEqual(openIds(holder), ['i-1']);
@@ -301,7 +301,7 @@
     100,
   );
   const {serverRevision, serverDigest} = puller.stamp;
-  const held = {routeVersion: 0, serverRevision, serverDigest};
+  const held = {asker: 1, routeVersion: 0, serverRevision, serverDigest};
   const update = updateFor(holder, held, 200);
   assert.equal(update.servers?.servers.length, 2);
   assert.deepEqual(update.servers?.removed, [{id: 'i-3', revision: 53}]);
--- /dev/null
+++ b/src/catalog/copy-exchange.ts
@@ -0,0 +1,183 @@
+/**
+ * Copies of the catalog between daemons. Who hears of a newer version pulls what it
+ * lacks; who gives many copies names others that have one.
+ */
+import type {Beat, CatalogUpdate} from '../generated/catalog.js';
+import type {Clock} from '../ports/clock.js';
+import type {FleetChannel, HeldVersions} from '../ports/fleet-channel.js';
+import type {Log} from '../ports/log.js';
+import {formatIpv4} from '../routing/ipv4.js';
+import {applyUpdate, updateFor} from './catalog-messages.js';
+import type {Catalog} from './catalog.js';
+import {CopyGiver} from './copy-giver.js';
+
+/** Deadline of one pull, in milliseconds. */
+const PULL_LIMIT_MS = 900;
+/** Pulls under way at once; a second one covers for a peer that died. */
+const MAXIMUM_PULLS = 2;
+/** Daemons that one pull asks one after the other while they name others. */
+const MAXIMUM_HOPS = 6;
+/** Longest wait until a daemon that was named has its copy, in milliseconds. */
+const LONGEST_WAIT_MS = 300;
+
+/** What an exchange is made from. */
+export interface CopyExchangeOptions {
+  /** Address of this daemon. */
+  readonly self: number;
+  readonly linkMbps: number;
+  readonly catalog: Catalog;
+  readonly channel: FleetChannel;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Until when a first copy is expected from the source; monotonic milliseconds. */
+  copyExpectedUntil(): number;
+  /** Told when something newer was taken. */
+  onTaken(): void;
+}
+
+/** The copies that one daemon gives and takes. */
+export class CopyExchange {
+  private readonly giver: CopyGiver;
+  /** Addresses of the peers that are being asked. */
+  private readonly pulls = new Set<number>();
+
+  private constructor(private readonly options: CopyExchangeOptions) {
+    this.giver = CopyGiver.create(options.linkMbps);
+  }
+
+  /** Creates an exchange that asks nobody. */
+  static create(options: CopyExchangeOptions): CopyExchange {
+    return new CopyExchange(options);
+  }
+
+  /** Whether a peer is being asked for its copy. */
+  get isPulling(): boolean {
+    return this.pulls.size > 0;
+  }
+
+  /** Answers a daemon that holds some versions. */
+  give(held: HeldVersions): CatalogUpdate {
+    const {catalog, clock} = this.options;
+    const now = clock.now();
+    const update = updateFor(catalog, held, now);
+    const size = {
+      routes: update.routes?.routes.length ?? 0,
+      servers: update.servers?.servers.length ?? 0,
+    };
+    const referral = this.giver.referralFor(held.asker, size, now);
+    return referral === undefined
+      ? update
+      : {routes: undefined, servers: undefined, ...referral};
+  }
+
+  /** Whether a daemon that told of itself holds something newer. */
+  isNewer(beat: Beat): boolean {
+    const {stamp} = this.options.catalog;
+    const newerRoutes = beat.routeVersion > stamp.routeVersion;
+    // Equal revisions with other servers: something was missed by one of the
+    // two; the digests decide, alike at both, who takes the other's whole list.
+    const newerServers =
+      beat.serverRevision === stamp.serverRevision
+        ? beat.serverDigest > stamp.serverDigest
+        : beat.serverDigest !== stamp.serverDigest &&
+          beat.serverRevision > stamp.serverRevision;
+    return newerRoutes || newerServers;
+  }
+
+  /** Pulls what a beat told of, unless it comes from the source meanwhile. */
+  async pullNewer(sender: number, beat: Beat): Promise<void> {
+    const {catalog} = this.options;
+    await this.whilePulling(sender, async () => {
+      await this.awaitCopy();
+      if (this.isNewer(beat)) {
+        const {serverRevision} = catalog.stamp;
+        const isWhole = beat.serverRevision === serverRevision;
+        await this.pull(sender, isWhole, MAXIMUM_HOPS);
+      }
+    });
+  }
+
+  /** Pulls a first copy from a daemon that is said to have one. */
+  async pullFirst(giver: number): Promise<void> {
+    await this.whilePulling(giver, async () => {
+      await this.awaitCopy();
+      if (this.options.catalog.stamp.serverRevision === 0) {
+        await this.pull(giver, true, MAXIMUM_HOPS);
+      }
+    });
+  }
+
+  /** Runs one pull, unless enough of them run. */
+  private async whilePulling(
+    peer: number,
+    pull: () => Promise<void>,
+  ): Promise<void> {
+    // A first copy is long, and a second one beside it takes its share of the link.
+    const isFirst = this.options.catalog.stamp.serverRevision === 0;
+    const limit = isFirst ? 1 : MAXIMUM_PULLS;
+    if (this.pulls.has(peer) || this.pulls.size >= limit) {
+      return;
+    }
+    this.pulls.add(peer);
+    await pull();
+    this.pulls.delete(peer);
+  }
+
+  /** Waits while a first copy is expected from the source. */
+  private async awaitCopy(): Promise<void> {
+    const {clock, catalog} = this.options;
+    const until = this.options.copyExpectedUntil();
+    if (until > clock.now()) {
+      await new Promise<void>(resolve => {
+        clock.callAt(until, resolve);
+        catalog.onChange(() => resolve());
+      });
+    }
+  }
+
+  /** Asks a daemon, and those that it names in its place. */
+  private async pull(
+    giver: number,
+    isWhole: boolean,
+    hops: number,
+  ): Promise<void> {
+    const {channel, clock, log} = this.options;
+    const deadline = clock.now() + PULL_LIMIT_MS;
+    const update = await channel.pull(giver, this.held(isWhole), deadline);
+    if (update.isErr()) {
+      const cause = update.error.message;
+      log.warn('pull-failed', {peer: formatIpv4(giver), cause});
+      return;
+    }
+    const {other, waitMs} = update.value;
+    if (other === 0) {
+      this.take(update.value);
+    } else if (hops > 0 && other !== this.options.self) {
+      await this.sleepUntil(clock.now() + Math.min(waitMs, LONGEST_WAIT_MS));
+      await this.pull(other, isWhole, hops - 1);
+    }
+  }
+
+  private sleepUntil(time: number): Promise<void> {
+    return new Promise(resolve => {
+      this.options.clock.callAt(time, resolve);
+    });
+  }
+
+  private held(isWhole: boolean): HeldVersions {
+    const {catalog, self} = this.options;
+    const {routeVersion, serverRevision, serverDigest} = catalog.stamp;
+    return {
+      asker: self,
+      routeVersion,
+      serverRevision: isWhole ? 0 : serverRevision,
+      serverDigest,
+    };
+  }
+
+  private take(update: CatalogUpdate): void {
+    const {catalog, clock} = this.options;
+    applyUpdate(catalog, update, clock.now());
+    this.options.onTaken();
+  }
+}
--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -44,11 +44,15 @@
  */
 const FIRST_TURNS_MS = 3_000;
 /**
- * Head start of the peers' answers over a starting daemon's own read, in
- * milliseconds: a few round trips between failure domains and the peer's work. It is
- * short, since all daemons lose it when all of them start.
+ * Head start of the peers' answers over a starting daemon's own read: in milliseconds,
+ * a few round trips between failure domains and the peer's work; on a slow link the
+ * time that this many kilobits take there. An answer of the store with 1,400 routes is
+ * 300 kB, a peer's copy of the same 55 kB; and when all start at once, ample daemons
+ * have their copies from the store before others are there. It is short, since all
+ * daemons lose it when nobody has a copy.
  */
 const PEER_HEAD_START_MS = 10;
+const HEAD_START_KILOBITS = 1_000;
 /** Longest wait for a pull that is under way, in milliseconds. */
 const PULL_PATIENCE_MS = 200;
 /**
@@ -81,6 +85,8 @@
   readonly turns: ReadTurns;
   /** Whether the whole fleet starts for the first time. */
   readonly isFirstStart: boolean;
+  /** What the instance's link carries, in megabits a second. */
+  readonly linkMbps: number;
   /** Time in which a version has to be in force everywhere, in milliseconds. */
   readonly inForceLimitMs: number;
   /** Whether this daemon hears of no other one. */
@@ -110,15 +116,18 @@
   private startsFromOld: boolean;
   /** When the old copy was asked for that has not come yet; monotonic milliseconds. */
   private oldReadSentAt: number | undefined;
+  /** Monotonic milliseconds. */
+  private readonly startedAt: number;
   /** When a read last succeeded; monotonic milliseconds. */
   private readAt = -Infinity;
 
   private constructor(private readonly options: ReaderOptions) {
-    const {clock, turns, isFirstStart} = options;
+    const {clock, turns, isFirstStart, linkMbps} = options;
     const wait = isFirstStart
       ? FIRST_TURNS_MS * turns.place
-      : PEER_HEAD_START_MS;
-    this.firstReadAt = clock.now() + wait;
+      : Math.max(PEER_HEAD_START_MS, HEAD_START_KILOBITS / linkMbps);
+    this.startedAt = clock.now();
+    this.firstReadAt = this.startedAt + wait;
     this.startsFromOld = !isFirstStart;
     this.drawPatience();
   }
@@ -203,7 +212,8 @@
       ? Math.min(routesConfirmedAt, serversConfirmedAt)
       : serversConfirmedAt;
     const triedAt = turns.lastTryAt(clock.now());
-    return Math.max(confirmedAt, triedAt, this.readAt) + this.patienceMs;
+    const since = Math.max(this.startedAt, this.readAt);
+    return Math.max(confirmedAt, triedAt, since) + this.patienceMs;
   }
 
   /** Logs when this daemon takes up, or gives up, waiting at the source for all. */
--- /dev/null
+++ b/src/catalog/seekers.ts
@@ -0,0 +1,41 @@
+/**
+ * Daemons that said they have no copy of the catalog yet. Those that started with a
+ * fleet know a few addresses alone, and ask there before anyone has a copy.
+ */
+
+/** Time for which a daemon counts as one that seeks a copy, in milliseconds. */
+const SEEKING_MS = 1_500;
+/** Daemons remembered; 250 bytes to each take a slow link of 14 Mbit/s 36 ms. */
+const MAXIMUM_SEEKERS = 256;
+
+/** The seekers that one daemon heard of. */
+export class Seekers {
+  /** When each last said so; monotonic milliseconds. */
+  private readonly heardAt = new Map<number, number>();
+
+  private constructor() {}
+
+  /** Creates a record without seekers. */
+  static create(): Seekers {
+    return new Seekers();
+  }
+
+  /** Notes whether a daemon has a copy, by its own word. */
+  note(address: number, hasCopy: boolean, now: number): void {
+    if (hasCopy) {
+      this.heardAt.delete(address);
+    } else if (
+      this.heardAt.has(address) ||
+      this.heardAt.size < MAXIMUM_SEEKERS
+    ) {
+      this.heardAt.set(address, now);
+    }
+  }
+
+  /** All that have said so of late. */
+  all(now: number): number[] {
+    return [...this.heardAt]
+      .filter(([, at]) => now - at <= SEEKING_MS)
+      .map(([address]) => address);
+  }
+}
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -14,18 +14,28 @@
 import {ContactResult} from '../ports/server-contact.js';
 import type {ServerReachability} from '../reachability/server-reachability.js';
 import type {Random} from '../routing/random.js';
-import {
-  ageOf,
-  applyUpdate,
-  decodeMark,
-  encodeMark,
-  updateFor,
-} from './catalog-messages.js';
+import {ageOf, decodeMark, encodeMark} from './catalog-messages.js';
 import type {Catalog} from './catalog.js';
+import {CopyExchange} from './copy-exchange.js';
 import type {ReadTurns} from './read-turns.js';
+import {Seekers} from './seekers.js';
 
 /** Time between two beats, in milliseconds; a fifth of it is by chance. */
 const BEAT_MS = 500;
+/**
+ * The same while a daemon has just started and hears of nobody, and for how long. After
+ * the loss of all, ample daemons are there first and have a copy before the daemons
+ * whose addresses they know; these hear of them as soon as they are there.
+ */
+const START_BEAT_MS = 30;
+const START_MS = 5_000;
+/**
+ * Times that a daemon without a copy tells others without one who has one: the first
+ * may be asked by many, and names others then.
+ */
+const TIMES_SEEKERS_TOLD = 3;
+/** Time in which further ones are gathered before each such time, in milliseconds. */
+const SEEKER_GAP_MS = 10;
 /** Fleet size up to which a beat goes to everyone. */
 const MESH_LIMIT = 16;
 /** Receivers of a beat in a larger fleet, besides one anywhere. */
@@ -35,10 +45,6 @@
  * nobody greets in every round: it reads the source by itself until it does.
  */
 const ROUNDS_BETWEEN_GREETINGS = 4;
-/** Deadline of one pull, in milliseconds. */
-const PULL_LIMIT_MS = 900;
-/** Pulls under way at once; a second one covers for a peer that died. */
-const MAXIMUM_PULLS = 2;
 /** How much younger a read must be for its news to be passed on, in milliseconds. */
 const RELAY_GAIN_MS = 300;
 /**
@@ -58,6 +64,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly random: Random;
+  /** What the instance's link carries, in megabits a second. */
+  readonly linkMbps: number;
   /** Addresses of daemons that may run, as IPv4 numbers. */
   seeds(): readonly number[];
   /** This daemon as its peers are to know it, now. */
@@ -83,10 +91,22 @@
   private relayTimer: Timer | undefined;
   /** Monotonic milliseconds at which news was last passed on. */
   private relayedAt = -Infinity;
-  /** Addresses of the peers that are being asked. */
-  private readonly pulls = new Set<number>();
-
-  private constructor(private readonly options: SpreadOptions) {}
+  private readonly copies: CopyExchange;
+  private readonly seekers = Seekers.create();
+  /** How often those that have no copy were told of others that have one. */
+  private timesToldSeekers = 0;
+  private seekerTimer: Timer | undefined;
+  private hadCopy = false;
+  private readonly startedAt: number;
+
+  private constructor(private readonly options: SpreadOptions) {
+    this.startedAt = options.clock.now();
+    this.copies = CopyExchange.create({
+      ...options,
+      self: options.self().address,
+      onTaken: () => this.relay(),
+    });
+  }
 
   /** Creates a spread that does nothing until started. */
   static create(options: SpreadOptions): CatalogSpread {
@@ -95,22 +115,24 @@
 
   /** Starts to serve peers and to send beats; the returned function stops. */
   async start(): Promise<() => void> {
-    const {channel, catalog, clock} = this.options;
+    const {channel, catalog} = this.options;
     await channel.serve({
       onBeat: (sender, beat) => this.onBeat(sender, beat),
-      onPull: held => updateFor(catalog, held, clock.now()),
+      onPull: held => this.copies.give(held),
     });
+    catalog.onChange(() => this.tellSeekersOfOwn());
     this.tick();
     return () => {
       this.timer?.cancel();
       this.relayTimer?.cancel();
+      this.seekerTimer?.cancel();
       void channel.close();
     };
   }
 
   /** Whether a peer is being asked for its copy. */
   get isPulling(): boolean {
-    return this.pulls.size > 0;
+    return this.copies.isPulling;
   }
 
   /** Sends a beat now, because there is news. */
@@ -132,7 +154,10 @@
 
   private tick(): void {
     const {clock, random} = this.options;
-    const pause = BEAT_MS * (0.9 + random.next() / 5);
+    const isLonelyStart =
+      this.livePeers() === 0 && clock.now() - this.startedAt < START_MS;
+    const beat = isLonelyStart ? START_BEAT_MS : BEAT_MS;
+    const pause = beat * (0.9 + random.next() / 5);
     this.timer = clock.callAt(clock.now() + pause, () => this.tick());
     this.beatAndGreet();
     const isAlone = this.livePeers() === 0;
@@ -281,8 +306,9 @@
       this.takeMarks(beat, now),
       this.takeReachNews(beat, now),
     );
-    if (this.isNewer(beat)) {
-      void this.pullWhatIsNewer(sender, beat);
+    this.seekCopy(beat);
+    if (this.copies.isNewer(beat)) {
+      void this.copies.pullNewer(sender, beat);
     } else if (gain > RELAY_GAIN_MS) {
       this.relay();
     }
@@ -304,8 +330,64 @@
         failureDomain: told.failureDomain,
       });
     }
+    this.seekers.note(sender, told.hasCopy, now);
     if (isNew || hello) {
+      this.answer(sender, told.hasCopy);
+    }
+  }
+
+  /** Beats back to a daemon that greets, or is new here. */
+  private answer(sender: number, hasCopy: boolean): void {
+    if (hasCopy) {
       this.send(sender, this.beat(false));
+    } else {
+      this.sendToSeekers([sender]);
+    }
+  }
+
+  /** Without a copy, asks a daemon that is said to have one, and tells others of it. */
+  private seekCopy(beat: Beat): void {
+    const having = [beat.sender, ...beat.peers].flatMap(told =>
+      told?.hasCopy === true ? [told.address] : [],
+    );
+    const giver = this.options.random.pick(having);
+    if (giver === undefined || this.options.self().hasCopy) {
+      return;
+    }
+    void this.copies.pullFirst(giver);
+    this.tellSeekers();
+  }
+
+  /** Tells those that have no copy who has one, a few times and not at once. */
+  private tellSeekers(): void {
+    const {clock} = this.options;
+    if (
+      this.seekerTimer === undefined &&
+      this.timesToldSeekers < TIMES_SEEKERS_TOLD
+    ) {
+      this.timesToldSeekers += 1;
+      this.seekerTimer = clock.callAt(clock.now() + SEEKER_GAP_MS, () => {
+        this.seekerTimer = undefined;
+        this.sendToSeekers(this.seekers.all(clock.now()));
+      });
+    }
+  }
+
+  /** Tells those that have no copy, once, that this daemon has one now. */
+  private tellSeekersOfOwn(): void {
+    if (!this.hadCopy && this.options.self().hasCopy) {
+      this.hadCopy = true;
+      this.sendToSeekers(this.seekers.all(this.options.clock.now()));
+    }
+  }
+
+  /** Beats for daemons that have no copy. */
+  private sendToSeekers(addresses: readonly number[]): void {
+    const {peers, clock} = this.options;
+    if (addresses.length > 0) {
+      const told = peers.toldToSeeker(clock.now());
+      const beat = {...this.beat(false), peers: told};
+      addresses.forEach(address => this.send(address, beat));
     }
   }
 
@@ -363,70 +445,6 @@
     return Math.max(0, ...gains);
   }
 
-  private isNewer(beat: Beat): boolean {
-    const {stamp} = this.options.catalog;
-    const newerRoutes = beat.routeVersion > stamp.routeVersion;
-    // Equal revisions with other servers: something was missed by one of the
-    // two; the digests decide, alike at both, who takes the other's whole list.
-    const newerServers =
-      beat.serverRevision === stamp.serverRevision
-        ? beat.serverDigest > stamp.serverDigest
-        : beat.serverDigest !== stamp.serverDigest &&
-          beat.serverRevision > stamp.serverRevision;
-    return newerRoutes || newerServers;
-  }
-
-  /** Pulls what a beat told of, unless it comes from the source meanwhile. */
-  private async pullWhatIsNewer(sender: number, beat: Beat): Promise<void> {
-    if (this.pulls.has(sender) || this.pulls.size >= MAXIMUM_PULLS) {
-      return;
-    }
-    this.pulls.add(sender);
-    await this.awaitCopy();
-    if (this.isNewer(beat)) {
-      const {serverRevision} = this.options.catalog.stamp;
-      await this.pull(sender, beat.serverRevision === serverRevision);
-    }
-    this.pulls.delete(sender);
-  }
-
-  /** Waits while a first copy is expected from the source. */
-  private async awaitCopy(): Promise<void> {
-    const {clock} = this.options;
-    const until = this.options.copyExpectedUntil();
-    if (until > clock.now()) {
-      await new Promise<void>(resolve => {
-        clock.callAt(until, resolve);
-        this.options.catalog.onChange(() => resolve());
-      });
-    }
-  }
-
-  private async pull(sender: number, isWhole: boolean): Promise<void> {
-    const {catalog, channel, clock, log} = this.options;
-    const {stamp} = catalog;
-    const update = await channel.pull(
-      sender,
-      {
-        routeVersion: stamp.routeVersion,
-        serverRevision: isWhole ? 0 : stamp.serverRevision,
-        serverDigest: stamp.serverDigest,
-      },
-      clock.now() + PULL_LIMIT_MS,
-    );
-    update.match(
-      taken => {
-        applyUpdate(catalog, taken, clock.now());
-        this.relay();
-      },
-      failure =>
-        log.warn('pull-failed', {
-          peer: formatIpv4(sender),
-          cause: failure.message,
-        }),
-    );
-  }
-
   /** Passes news on, where beats do not reach everyone by themselves. */
   private relay(): void {
     if (!this.isLarge() || this.relayTimer !== undefined) {
--- a/src/cli/process-states.spec.ts
+++ b/src/cli/process-states.spec.ts
@@ -99,3 +99,14 @@
   ]);
   assert.equal(stateOf('d1', lines).routeVersion, 199_999);
 });
+
+test('a daemon shows the domains that it holds to be evacuated since its start', () => {
+  const lines: readonly Line[] = [
+    ['d1', 'domain-evacuated', {failureDomain: 'lost-with-the-start'}],
+    ['d1', 'started'],
+    ['d1', 'domain-evacuated', {failureDomain: 'b'}],
+    ['d1', 'domain-evacuated', {failureDomain: 'a'}],
+    ['d1', 'domain-restored', {failureDomain: 'b'}],
+  ];
+  assert.deepEqual(stateOf('d1', lines).evacuated, ['a']);
+});
--- a/src/cli/process-states.ts
+++ b/src/cli/process-states.ts
@@ -26,6 +26,8 @@
   readonly routeVersion: number;
   /** Whether its last word on the store is that it does not answer. */
   readonly lacksStore: boolean;
+  /** Failure domains that it holds to be evacuated. */
+  readonly evacuated: readonly string[];
   /** Errors, and lines that were left out or lost. */
   readonly errors: number;
   readonly linesMissing: number;
@@ -53,6 +55,12 @@
   started: true,
 };
 
+/** Events after which a failure domain is evacuated, or is not. */
+const DOMAIN_CHANGES: Readonly<Record<string, boolean>> = {
+  'domain-evacuated': true,
+  'domain-restored': false,
+};
+
 /** The state of each process, by name; `events` are in the order of time. */
 export function summarizeProcesses(
   events: readonly TimelineEvent[],
@@ -97,6 +105,7 @@
       0,
     ),
     lacksStore: STORE_ANSWERS[lastOf(STORE_ANSWERS)] === false,
+    evacuated: evacuatedIn(events),
     errors: kinds.filter(kind => ERRORS.has(kind)).length,
     linesMissing: details.reduce(
       (sum, fields, index) => sum + missingIn(kinds[index], fields),
@@ -113,6 +122,23 @@
   ).length;
 }
 
+/** Domains whose last change since the last start is that they were evacuated. */
+function evacuatedIn(events: readonly TimelineEvent[]): string[] {
+  const kinds = events.map(({kind}) => kind);
+  const changes = events
+    .slice(kinds.lastIndexOf('started') + 1)
+    .filter(({kind}) => Object.hasOwn(DOMAIN_CHANGES, kind))
+    .map(
+      event =>
+        [
+          String(detailsOf(event)['failureDomain']),
+          DOMAIN_CHANGES[event.kind],
+        ] as const,
+    );
+  const last = new Map(changes);
+  return [...last.keys()].filter(domain => last.get(domain) === true).sort();
+}
+
 function versionIn({routeVersion}: Details): number {
   return typeof routeVersion === 'number' ? routeVersion : 0;
 }
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -243,7 +243,7 @@
   }
 
   private createSpread(): CatalogSpread {
-    const {channel, clock, log, random} = this.options;
+    const {channel, clock, log, random, settings} = this.options;
     return CatalogSpread.create({
       catalog: this.catalog,
       peers: this.peers,
@@ -253,6 +253,7 @@
       clock,
       log,
       random,
+      linkMbps: settings.linkMbps,
       seeds: () => this.seeds,
       self: () => this.self(),
       workToTell: isLarge =>
@@ -273,6 +274,7 @@
       random,
       turns: this.turns,
       isFirstStart: settings.isFirstStart,
+      linkMbps: settings.linkMbps,
       inForceLimitMs: settings.inForceLimitMs,
       isAlone: () => this.peers.live(clock.now()).length === 0,
       isPulling: () => this.spread.isPulling,
@@ -283,7 +285,13 @@
   /** This daemon as its peers are to know it. */
   private self(): PeerAge {
     const {address, failureDomain} = this.options.settings;
-    return {address, failureDomain, leaving: this.isLeaving, ageMs: 0};
+    return {
+      address,
+      failureDomain,
+      leaving: this.isLeaving,
+      hasCopy: this.catalog.isComplete,
+      ageMs: 0,
+    };
   }
 
   /** Forwards or refuses a packet; only openings and refusals are logged. */
--- a/src/entry/planned-stop.spec.ts
+++ b/src/entry/planned-stop.spec.ts
@@ -31,6 +31,7 @@
         ageMs: 0,
         failureDomain: 'a',
         leaving,
+        hasCopy: true,
       },
       clock.now(),
     );
--- a/src/entry/settings-file.spec.ts
+++ b/src/entry/settings-file.spec.ts
@@ -13,6 +13,7 @@
     address: '10.1.0.10',
     'failure-domain': 'a',
     'processor-share': '0.675',
+    'link-mbps': '1000',
   },
   listen: {
     packets: '10.1.0.10:8172',
@@ -54,6 +55,7 @@
     seeds: [0x0a01000a, 0x0a020028],
     storeAddress: '10.200.1.7:8169',
     capacity: 675,
+    linkMbps: 1_000,
     stopLimitMs: 6_000,
     flowLifetimeMs: 60_000,
     inForceLimitMs: 3_000,
--- a/src/entry/settings-file.ts
+++ b/src/entry/settings-file.ts
@@ -42,6 +42,7 @@
     failureDomain: reader.text('instance', 'failure-domain'),
     regions: reader.table('regions'),
     capacity: Math.round(reader.share('instance', 'processor-share')),
+    linkMbps: reader.positive('instance', 'link-mbps'),
     fabricListen: reader.socket('listen', 'packets'),
     readinessListen: reader.socket('listen', 'readiness'),
     peerPort: reader.port('listen', 'peer-port'),
@@ -94,6 +95,14 @@
     return value === 'true';
   }
 
+  /** A number above 0. */
+  positive(section: string, key: string): number {
+    const value = Number(this.value(section, key));
+    return value > 0
+      ? value
+      : this.fault(section, key, 0, 'write a number above 0 such as 100');
+  }
+
   /** A share of one core, in thousandths. */
   share(section: string, key: string): number {
     const value = Number(this.value(section, key));
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -25,6 +25,8 @@
   readonly storeAddress: string;
   /** Processor share in thousandths of a core. */
   readonly capacity: number;
+  /** What the instance's link carries, in megabits a second. */
+  readonly linkMbps: number;
   /** Longest time that a planned stop may take, in milliseconds. */
   readonly stopLimitMs: number;
   /** Longest life of a flow, in milliseconds. */
--- a/src/entry/start.spec.ts
+++ b/src/entry/start.spec.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
-import {OutageKind} from '../../standins/catalog-store.js';
+import {OutageKind, STORE_LINK} from '../../standins/catalog-store.js';
 import {CookieWorld} from '../../standins/cookie-world.js';
 
 const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
@@ -107,3 +107,69 @@
   await world.clock.advance(200);
   assert.deepEqual(versionsOf(world), [2, 2, 2]);
 });
+
+/** Megabits a second: one daemon in thirteen has an ample link. */
+const LINKS_MBPS = [...new Array<number>(12).fill(14), 140];
+
+/** Starts all daemons of a killed fleet; returns when the first ones had a copy. */
+async function timeStarts(
+  world: CookieWorld,
+  slowAfterMs: number,
+): Promise<number[]> {
+  const {clock} = world;
+  const startedAt = new Map<string, number>();
+  world.daemons.forEach(({name, settings}) => {
+    // A daemon with a small share of a processor is there later.
+    const at = clock.now() + (settings.linkMbps < 100 ? slowAfterMs : 0);
+    startedAt.set(name, at);
+    clock.callAt(at, () => void world.startDaemon(name));
+  });
+  const tookMs = new Map<string, number>();
+  while (tookMs.size < world.daemons.size && clock.now() < Infinity) {
+    await clock.advance(2);
+    world.daemons.forEach(({name, running}) => {
+      if (running?.catalog.isComplete === true && !tookMs.has(name)) {
+        tookMs.set(name, clock.now() - (startedAt.get(name) ?? 0));
+      }
+    });
+  }
+  return [...tookMs.values()].sort((a, b) => a - b);
+}
+
+[0, 250].forEach(slowAfterMs =>
+  test(`copies of 1,400 routes reach 195 daemons that all start, slow ones ${slowAfterMs} ms later, as a tree`, async () => {
+    const routes = Array.from({length: 1_400}, (_route, index) => ({
+      ...PAY,
+      address: PAY.address + index,
+    }));
+    const world = await CookieWorld.create(
+      {
+        seed: 3,
+        daemons: 195,
+        failureDomains: ['a', 'b', 'c', 'd', 'e'],
+        services: [{name: 'pay', servers: 205, slots: 2, workMs: 20}],
+        routes,
+        bounds: BOUNDS,
+        storeLinkMbps: 1_000,
+        linksMbps: LINKS_MBPS,
+      },
+      await XxhashHasher.create(),
+    );
+    [...world.daemons.keys()].forEach(name => world.killDaemon(name));
+    await world.clock.advance(1_000);
+    const {sentBytes} = world.network.links;
+    sentBytes.clear();
+    const tookMs = await timeStarts(world, slowAfterMs);
+    const p90 = tookMs[Math.floor(tookMs.length * 0.9)];
+    // By reads of the store alone it takes 450 ms, and 73 MB of the store's link.
+    assert.ok(p90 <= 150, `90% after ${p90} ms`);
+    assert.ok(tookMs[tookMs.length - 1] <= 300);
+    assert.ok((sentBytes.get(STORE_LINK) ?? 0) <= 10e6);
+    const busiest = Math.max(
+      ...[...sentBytes]
+        .filter(([link]) => link !== STORE_LINK)
+        .map(([, bytes]) => bytes),
+    );
+    assert.ok(busiest <= 1.5e6, `${busiest} bytes of one daemon`);
+  }),
+);
--- a/src/membership/peer-daemon.ts
+++ b/src/membership/peer-daemon.ts
@@ -9,6 +9,8 @@
   readonly address: number;
   readonly failureDomain: string;
   readonly leaving: boolean;
+  /** Whether it holds routes and servers. */
+  readonly hasCopy: boolean;
   /** Monotonic milliseconds at which it was last known to live. */
   readonly aliveAt: number;
 }
--- a/src/membership/peer-view.spec.ts
+++ b/src/membership/peer-view.spec.ts
@@ -20,6 +20,7 @@
     ageMs,
     failureDomain,
     leaving,
+    hasCopy: true,
   };
 }
 
--- a/src/membership/peer-view.ts
+++ b/src/membership/peer-view.ts
@@ -38,7 +38,7 @@
 
 /** Peers that one beat tells of; bounds its size at 8 * 25 bytes. */
 const TOLD_IN_A_BEAT = 8;
-/** How many of these may be peers that leave. */
+/** Peers that leave among those that one beat tells of, at the most. */
 const TOLD_LEAVING = 4;
 
 /** What a view is made from. */
@@ -72,7 +72,7 @@
    * to a view that has room for all.
    */
   merge(told: PeerAge, now: number): boolean {
-    const {address, failureDomain, leaving} = told;
+    const {address, failureDomain, leaving, hasCopy} = told;
     const aliveAt = now - told.ageMs;
     const known = this.peers.get(address) ?? this.lost.get(address);
     const isOutdated = known !== undefined && known.aliveAt >= aliveAt;
@@ -80,7 +80,7 @@
     if (isSelf || isOutdated || told.ageMs > FORGET_AGE_MS) {
       return false;
     }
-    const peer = {address, failureDomain, leaving, aliveAt};
+    const peer = {address, failureDomain, leaving, hasCopy, aliveAt};
     const isBack = this.lost.delete(address);
     const isNew = !this.isPartial && !this.peers.has(address);
     this.put(peer);
@@ -153,12 +153,18 @@
       ({address}) => !this.leavers.has(address),
     );
     const others = this.sample(live, TOLD_IN_A_BEAT - leaving.length);
-    return [...leaving, ...others].map(peer => ({
-      address: peer.address,
-      ageMs: Math.round(now - peer.aliveAt),
-      failureDomain: peer.failureDomain,
-      leaving: peer.leaving,
-    }));
+    return [...leaving, ...others].map(peer => toldOf(peer, now));
+  }
+
+  /** Ages to tell a daemon that has no copy: who has one, and whom to know. */
+  toldToSeeker(now: number): PeerAge[] {
+    const live = this.live(now).filter(({leaving}) => !leaving);
+    const having = live.filter(({hasCopy}) => hasCopy);
+    const others = live.filter(({hasCopy}) => !hasCopy);
+    const told = this.sample(having, TOLD_IN_A_BEAT);
+    return [...told, ...this.sample(others, TOLD_IN_A_BEAT - told.length)].map(
+      peer => toldOf(peer, now),
+    );
   }
 
   /** Up to `count` of the peers, by chance. */
@@ -229,6 +235,13 @@
   }
 }
 
+/** A peer as it is told of. */
+function toldOf(peer: PeerDaemon, now: number): PeerAge {
+  const {address, failureDomain, leaving, hasCopy, aliveAt} = peer;
+  const ageMs = Math.round(now - aliveAt);
+  return {address, failureDomain, leaving, hasCopy, ageMs};
+}
+
 /** The peers of the failure domain that has the most of them. */
 function largestDomainOf(peers: readonly PeerDaemon[]): readonly PeerDaemon[] {
   const byDomain = new Map<string, PeerDaemon[]>();
--- a/src/ports/fleet-channel.ts
+++ b/src/ports/fleet-channel.ts
@@ -5,6 +5,8 @@
 
 /** What a daemon that pulls holds already. */
 export interface HeldVersions {
+  /** Address of the daemon that pulls. */
+  readonly asker: number;
   readonly routeVersion: number;
   /** Revision as of which its servers are complete; 0 asks for all. */
   readonly serverRevision: number;
--- a/standins/catalog-store.ts
+++ b/standins/catalog-store.ts
@@ -16,6 +16,7 @@
   type CatalogReading,
 } from '../src/ports/catalog-source.js';
 import type {Clock} from '../src/ports/clock.js';
+import type {MemoryLinks} from './memory-links.js';
 
 /** Time of an answer, in milliseconds, as the users' store takes. */
 const ANSWER_MS = 4;
@@ -202,6 +203,18 @@
   }
 }
 
+/** What one route and one server take in an answer of the store, in bytes. */
+const ROUTE_BYTES = 220;
+const SERVER_BYTES = 330;
+/** Name of the store's link. */
+export const STORE_LINK = 'store';
+
+/** How long an answer with a reading is, in bytes. */
+function sizeOf({routes, servers}: CatalogReading): number {
+  const routeCount = routes?.routes.length ?? 0;
+  return routeCount * ROUTE_BYTES + servers.servers.length * SERVER_BYTES;
+}
+
 /** One daemon's way to the store. */
 export class MemoryCatalogSource extends CatalogSource {
   private isClosed = false;
@@ -210,30 +223,34 @@
     private readonly daemon: string,
     private readonly store: CatalogStore,
     private readonly clock: Clock,
+    private readonly links: MemoryLinks,
+    private readonly link: string,
   ) {
     super();
   }
 
-  /** Creates a source; `clock` is the daemon's. */
+  /** Creates a source; `clock` and `link` are the daemon's. */
   static create(
     daemon: string,
     store: CatalogStore,
     clock: Clock,
+    links: MemoryLinks,
+    link: string,
   ): MemoryCatalogSource {
-    return new MemoryCatalogSource(daemon, store, clock);
+    return new MemoryCatalogSource(daemon, store, clock, links, link);
   }
 
   readAll(deadline: number): ResultAsync<CatalogReading, SourceFailure> {
     const limit = Math.min(deadline, this.clock.now() + SILENCE_LIMIT_MS);
     return new ResultAsync(
-      this.call('read', limit, async () => ok(this.store.read())),
+      this.call('read', limit, () => this.transfer(this.store.read())),
     );
   }
 
   readOld(deadline: number): ResultAsync<CatalogReading, SourceFailure> {
     const limit = Math.min(deadline, this.clock.now() + SILENCE_LIMIT_MS);
     return new ResultAsync(
-      this.call(OLD_READ, limit, async () => ok(this.store.readOld())),
+      this.call(OLD_READ, limit, () => this.transfer(this.store.readOld())),
     );
   }
 
@@ -260,6 +277,17 @@
     this.isClosed = true;
   }
 
+  /** Has a reading go over the links. */
+  private async transfer(
+    reading: CatalogReading,
+  ): Promise<Result<CatalogReading, SourceFailure>> {
+    const {links, link, clock} = this;
+    const bytes = sizeOf(reading);
+    const now = clock.now();
+    await this.sleepUntil(links.arrivalOf(STORE_LINK, link, bytes, now));
+    return ok(reading);
+  }
+
   private nextEventOr(deadline: number): Promise<void> {
     return new Promise(resolve => {
       const forget = this.store.onNext(() => resolve());
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -17,7 +17,11 @@
 import type {ColdLimits} from '../src/routing/cold-openings.js';
 import type {Placement} from '../src/routing/placement.js';
 import {Random} from '../src/routing/random.js';
-import {CatalogStore, MemoryCatalogSource} from './catalog-store.js';
+import {
+  CatalogStore,
+  MemoryCatalogSource,
+  STORE_LINK,
+} from './catalog-store.js';
 import {CookieCallerFleet} from './cookie-caller-fleet.js';
 import {CallEnd, flowName, type CookieCaller} from './cookie-callers.js';
 import {CookieServerFleet} from './cookie-server-fleet.js';
@@ -36,6 +40,8 @@
 
 /** One way between any two processes, in milliseconds. */
 const WAY_MS = 1;
+/** What a link carries that is not told to be slow, in megabits a second. */
+const FAST_LINK_MBPS = 1_000;
 /** Time that a fleet has to start before callers come, in milliseconds. */
 const SETTLE_MS = 8_000;
 /** Time between two readiness checks, in milliseconds. */
@@ -66,6 +72,9 @@
   readonly coldServices?: readonly ColdService[];
   /** Regions of the failure domains; none are known if undefined. */
   readonly regions?: ReadonlyMap<string, string>;
+  /** Megabits a second of the store's link, and of daemons' in turn; any if undefined. */
+  readonly storeLinkMbps?: number;
+  readonly linksMbps?: readonly number[];
   /** How daemons place; the usual way if undefined. */
   readonly placement?: Placement;
 }
@@ -137,6 +146,9 @@
   /** Creates a world whose daemons run and whose routes are published. */
   static async create(plan: WorldPlan, hasher: Hasher): Promise<CookieWorld> {
     const world = new CookieWorld(plan, hasher);
+    if (plan.storeLinkMbps !== undefined) {
+      world.network.links.setRate(STORE_LINK, plan.storeLinkMbps);
+    }
     plan.services.forEach(service =>
       Array.from({length: service.servers}, () =>
         world.startServer(service.name),
@@ -250,7 +262,13 @@
       contact: MemoryContact.create(clock, server =>
         this.answers(server, name),
       ),
-      source: MemoryCatalogSource.create(name, this.store, clock),
+      source: MemoryCatalogSource.create(
+        name,
+        this.store,
+        clock,
+        this.network.links,
+        String(address),
+      ),
       placement: this.plan.placement,
     });
     await daemon.running.run();
@@ -335,6 +353,11 @@
     const name = `d${index}`;
     const address = FIRST_DAEMON_ADDRESS + index;
     const seeds = [0, 1, 2].map(offset => FIRST_DAEMON_ADDRESS + offset);
+    const links = this.plan.linksMbps ?? [];
+    const linkMbps = links[index % links.length] ?? FAST_LINK_MBPS;
+    if (links.length > 0) {
+      this.network.links.setRate(String(address), linkMbps);
+    }
     this.daemons.set(name, {
       name,
       settings: {
@@ -350,6 +373,7 @@
         seeds,
         storeAddress: '',
         capacity: 500,
+        linkMbps,
         stopLimitMs: 6_000,
         flowLifetimeMs: 60_000,
         inForceLimitMs: Math.min(
--- a/standins/memory-channel.ts
+++ b/standins/memory-channel.ts
@@ -9,6 +9,7 @@
 } from '../src/ports/fleet-channel.js';
 import {PeerUnavailable} from '../src/ports/peers.js';
 import type {Random} from '../src/routing/random.js';
+import {MemoryLinks} from './memory-links.js';
 
 /** One way between two daemons, in milliseconds. */
 const WAY_MS = 1;
@@ -21,6 +22,8 @@
   loss = 0;
   /** Messages and bytes that were sent. */
   readonly sent = {beats: 0, pulls: 0, bytes: 0};
+  /** Links of the daemons, by their addresses as text. */
+  readonly links = MemoryLinks.create();
   private readonly handlers = new Map<number, FleetHandlers>();
 
   private constructor(
@@ -103,24 +106,41 @@
     held: HeldVersions,
     deadline: number,
   ): ResultAsync<CatalogUpdate, PeerUnavailable> {
-    const answer = (): Result<CatalogUpdate, PeerUnavailable> => {
-      const peer = this.network.reach(this.address, address);
-      if (peer === undefined) {
-        return err(PeerUnavailable.create(String(address), 'not reached'));
-      }
-      const update = peer.onPull(held);
-      const bytes = CatalogUpdate.encode(update).finish();
-      this.network.sent.pulls += 1;
-      this.network.sent.bytes += bytes.length;
-      return ok(CatalogUpdate.decode(bytes));
-    };
-    const isReached = this.network.reach(this.address, address) !== undefined;
-    const at = isReached ? this.clock.now() + 3 * WAY_MS : deadline;
-    return new ResultAsync(
-      new Promise(resolve => {
-        this.clock.callAt(at, () => resolve(answer()));
-      }),
+    return new ResultAsync(this.pullFrom(address, held, deadline));
+  }
+
+  private async pullFrom(
+    address: number,
+    held: HeldVersions,
+    deadline: number,
+  ): Promise<Result<CatalogUpdate, PeerUnavailable>> {
+    const {network, clock} = this;
+    // The connection, then the question.
+    await this.sleepUntil(clock.now() + 2 * WAY_MS);
+    const peer = network.reach(this.address, address);
+    if (peer === undefined) {
+      await this.sleepUntil(deadline);
+      return err(PeerUnavailable.create(String(address), 'not reached'));
+    }
+    const bytes = CatalogUpdate.encode(peer.onPull(held)).finish();
+    network.sent.pulls += 1;
+    network.sent.bytes += bytes.length;
+    const arrival = network.links.arrivalOf(
+      String(address),
+      String(this.address),
+      bytes.length,
+      clock.now(),
     );
+    await this.sleepUntil(Math.min(deadline, arrival + WAY_MS));
+    return arrival > deadline
+      ? err(PeerUnavailable.create(String(address), 'slow'))
+      : ok(CatalogUpdate.decode(bytes));
+  }
+
+  private sleepUntil(time: number): Promise<void> {
+    return new Promise(resolve => {
+      this.clock.callAt(time, resolve);
+    });
   }
 
   async close(): Promise<void> {
