--- a/src/routing/cold-openings.ts
+++ b/src/routing/cold-openings.ts
@@ -8,11 +8,12 @@
  * server takes them then. Only while a service has none may a daemon open a flow at a
  * cold one, by a chance so small that the sum over all daemons stays within the rate.
  *
- * Weighed by a model of that load (cold-openings.spec.ts): least own work passes a bound
- * of 20 in a second at 8 daemons or more; shares of the rate for each daemon need
- * exact counts of daemons and give 5,606 daemons nothing; a server dealt to one daemon
- * needs views that agree. Warm servers first costs the cold servers' capacity for the
- * 2 s that they are cold, which they had not while they were away.
+ * By a model of that load (cold-openings.spec.ts) a cold server that takes 20 requests in
+ * a second gets at most 10 openings in any second, from 8 to 5,606 daemons that count each
+ * other right or by half. Weighed besides: least own work, which holds no sum, since each
+ * daemon sees a cold server idle; shares of the rate for each daemon, which need exact
+ * counts; a server dealt to one daemon, which needs views that agree. Warm servers first
+ * costs the cold servers' capacity while they are cold, which they had not while away.
  */
 import type {Random} from './random.js';
 
