Lengths of answers are said as estimates, and corrected

By the example of one route (178 bytes, 237 in base64) it is 332 kB for 1,400, 1.33 s of 2 Mbit/s, and 370 kB for 1,560, 0.42 s of 7 Mbit/s, servers apart.

Change: comments and the account say "by estimate" with these. No behaviour.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -43,7 +43,7 @@
 /**
  * Longest time between two pieces of an answer that is read on after its deadline, in
  * milliseconds: a lost packet is sent again after 200. Without it a daemon on a link of
- * 2 Mbit/s never gets the 600 kB of 1,400 routes, which take 2.4 s, and a fleet of such
+ * 2 Mbit/s never gets 1,400 routes, by estimate 330 kB and 1.3 s, and a fleet of such
  * daemons that has lost all its copies never serves again.
  */
 const LONGEST_GAP_MS = 400;
--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -32,7 +32,7 @@
 const LONGEST_UNCONFIRMED_MS = 3_500;
 /**
  * Deadline of a read of everything, in milliseconds: a store that answers in 300 ms
- * gives ten pages in 3 s, and 2,800 routes take a link of 2 Mbit/s 5 s. A source that is
+ * gives ten pages in 3 s, and 2,800 routes take a link of 2 Mbit/s some 3 s. A source that is
  * silent ends the read earlier.
  */
 const READ_LIMIT_MS = 10_000;
