Seams for what is new: urgency and limits of routes, ends of requests, ratings

Cause: routes' priority, target and time limit were decoded nowhere, a daemon kept no word of how a request ended, and the choice of a server stood inside the router, where four parts would meet.

Change: routes carry priority, targetMs and limitMs through the store, the messages between daemons and the table. RequestWatch follows requests to their ends and tells an observer: answered with time and length, left, overdue. ServerChoice takes ServerRatings (a weight, or no new flows); EqualRatings stands there, so placing is as before. [features] of the settings says what a deployment asks for; both are off unless it does.

--- a/bench/experiments/placing.ts
+++ b/bench/experiments/placing.ts
@@ -11,14 +11,9 @@
 import {CookieWorld, type WorldPlan} from '../../standins/cookie-world.js';
 import {round} from '../measures.js';
 import type {Experiment, ExperimentContext} from './experiment.js';
+import {createRoute} from '../../standins/catalog-records.js';
 
-const PAY = {
-  address: 0xc6120001,
-  port: 443,
-  shares: [{service: 'pay', weight: 1}],
-  repeatable: false,
-  regions: [],
-};
+const PAY = createRoute('pay', {address: 0xc6120001, port: 443});
 const SERVERS = 10;
 const SLOTS = 3;
 const WORK_MS = 50;
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,6 +10,9 @@
   'admission',
   'recovery',
   'catalog',
+  'reachability',
+  'feedback',
+  'pressure',
 ];
 
 /** The users' platform is known to its own folder; platform/main.ts composes. */
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -10,7 +10,7 @@
 import type {HeldVersions} from '../ports/fleet-channel.js';
 import type {Catalog} from './catalog.js';
 import type {ReadMark} from './read-marks.js';
-import {ServerState, type CatalogServer} from './records.js';
+import {ServerState, type CatalogRoute, type CatalogServer} from './records.js';
 import type {KnownRoute} from './route-table.js';
 
 /** Longer spans are sent as this: one hour, in milliseconds. */
@@ -87,7 +87,8 @@
 }
 
 function applyRoutes(catalog: Catalog, list: RouteList, now: number): void {
-  const {version, routes, coldServices} = list;
+  const {version, coldServices} = list;
+  const routes = list.routes.map(decodeRoute);
   catalog.takeRoutes({version, routes, coldServices}, now - list.ageMs);
 }
 
@@ -102,16 +103,37 @@
 }
 
 function encodeRoute(route: KnownRoute): RouteEntry {
-  const {address, port, shares, repeatable, regions} = route;
+  const {address, port, shares, repeatable, regions, priority} = route;
   return {
     address,
     port,
     shares: shares.map(({service, weight}) => ({service, weight})),
     repeatable,
     regions: [...regions],
+    priority,
+    targetMs: encodeSpan(route.targetMs),
+    limitMs: encodeSpan(route.limitMs),
   };
 }
 
+/** The inverse of `encodeRoute`. */
+function decodeRoute(entry: RouteEntry): CatalogRoute {
+  return {
+    ...entry,
+    targetMs: decodeSpan(entry.targetMs),
+    limitMs: decodeSpan(entry.limitMs),
+  };
+}
+
+/** A span that may be unbounded, as it is sent: 0 stands for none. */
+function encodeSpan(span: number): number {
+  return span === Infinity ? 0 : Math.round(span);
+}
+
+function decodeSpan(span: number): number {
+  return span === 0 ? Infinity : span;
+}
+
 /** The changes since a revision, or the whole list where they are not known. */
 function encodeServers(
   catalog: Catalog,
--- a/src/catalog/catalog.spec.ts
+++ b/src/catalog/catalog.spec.ts
@@ -5,6 +5,7 @@
 import {applyUpdate, updateFor} from './catalog-messages.js';
 import {Catalog} from './catalog.js';
 import type {CatalogServer, DomainChange, ServerState} from './records.js';
+import {createRoute} from '../../standins/catalog-records.js';
 
 const hasher = await XxhashHasher.create();
 
@@ -143,13 +144,7 @@
 
 test('a peer that pulls holds the same', () => {
   const holder = createCatalog();
-  const route = {
-    address: 1,
-    port: 2,
-    shares: [{service: 'docs', weight: 1}],
-    repeatable: true,
-    regions: [],
-  };
+  const route = createRoute('docs', {address: 1, port: 2, repeatable: true});
   holder.takeRoutes({version: 2, routes: [route], coldServices: []}, 1_000);
   const servers = [serverOf('i-1', 3), serverOf('i-2', 4, {state: 'draining'})];
   holder.takeServers({revision: 9, servers, evacuated: []}, 1_500);
--- a/src/catalog/records.ts
+++ b/src/catalog/records.ts
@@ -49,6 +49,12 @@
   readonly repeatable: boolean;
   /** Regions whose servers alone may take its flows; empty: all may. */
   readonly regions: readonly string[];
+  /** How urgent its requests are: 0 is the most urgent. */
+  readonly priority: number;
+  /** Time in which a request is to be answered, in milliseconds; Infinity: none stated. */
+  readonly targetMs: number;
+  /** Time after which its callers wait no longer, in milliseconds; Infinity: none stated. */
+  readonly limitMs: number;
 }
 
 /** A server whose entry is gone. */
--- a/src/cli/flow-story.spec.ts
+++ b/src/cli/flow-story.spec.ts
@@ -9,14 +9,9 @@
 import {formatIpv4} from '../routing/ipv4.js';
 import {tellFlowStory} from './flow-story.js';
 import {readProcessLogs} from './process-logs.js';
+import {createRoute} from '../../standins/catalog-records.js';
 
-const PAY = {
-  address: 0xc6120001,
-  port: 443,
-  shares: [{service: 'pay', weight: 1}],
-  repeatable: false,
-  regions: [],
-};
+const PAY = createRoute('pay', {address: 0xc6120001, port: 443});
 
 async function createWorld(): Promise<CookieWorld> {
   const plan = {
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -5,22 +5,15 @@
 import {OutageKind} from '../../standins/catalog-store.js';
 import {CookieWorld, type WorldPlan} from '../../standins/cookie-world.js';
 import {strike} from '../../standins/world-faults.js';
+import {createRoute} from '../../standins/catalog-records.js';
 
 const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
-const PAY = {
-  address: 0xc6120001,
-  port: 443,
-  shares: [{service: 'pay', weight: 1}],
-  repeatable: false,
-  regions: [],
-};
-const DOCS = {
+const PAY = createRoute('pay', {address: 0xc6120001, port: 443});
+const DOCS = createRoute('docs', {
   address: 0xc6120002,
   port: 443,
-  shares: [{service: 'docs', weight: 1}],
   repeatable: true,
-  regions: [],
-};
+});
 const LONG_CALL_MS = 20_000;
 const PLAN: WorldPlan = {
   seed: 1,
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -3,40 +3,31 @@
  * all others where their cookies say, and shares a catalog with its peers.
  */
 import {Catalog, type CatalogChange} from '../catalog/catalog.js';
-import type {CatalogServer} from '../catalog/records.js';
 import {ReadTurns} from '../catalog/read-turns.js';
 import {CatalogReader} from '../catalog/reader.js';
 import {CatalogSpread} from '../catalog/spread.js';
+import {EqualRatings} from '../feedback/server-ratings.js';
 import type {PeerAge} from '../generated/catalog.js';
 import {PeerView} from '../membership/peer-view.js';
 import type {CatalogSource} from '../ports/catalog-source.js';
 import type {Clock} from '../ports/clock.js';
-import type {
-  CallerPosition,
-  CookieFabric,
-  CookiePacket,
-} from '../ports/cookie-fabric.js';
+import type {CookieFabric} from '../ports/cookie-fabric.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import type {FleetChannel} from '../ports/fleet-channel.js';
 import type {Hasher} from '../ports/hasher.js';
 import type {Log, LogFields} from '../ports/log.js';
 import type {ServerContact} from '../ports/server-contact.js';
 import {ServerReachability} from '../reachability/server-reachability.js';
-import {
-  CookieRouter,
-  RefusalReason,
-  Verdict,
-  type CookieRefusal,
-} from '../routing/cookie-router.js';
+import {CookieRouter} from '../routing/cookie-router.js';
 import {formatIpv4} from '../routing/ipv4.js';
 import {OwnWorkPlacement, type Placement} from '../routing/placement.js';
 import type {Random} from '../routing/random.js';
 import {ServerWorkLedger} from '../routing/server-work.js';
+import {logChange, sinceStart, versionsOf} from './log-lines.js';
+import {PacketTask} from './packet-task.js';
 import {PlannedStop} from './planned-stop.js';
 import type {EntrySettings} from './settings.js';
 
-const MICROSECONDS_A_MILLISECOND = 1_000;
-
 /** What a daemon is made from. */
 export interface EntryDaemonOptions {
   readonly settings: EntrySettings;
@@ -64,13 +55,11 @@
   private readonly turns: ReadTurns;
   private readonly reach: ServerReachability;
   private readonly reader: CatalogReader;
+  private readonly packets: PacketTask;
   private readonly stops: Array<() => void> = [];
   private seeds: readonly number[];
   private isLeaving = false;
   private wasReady = false;
-  private hasForwarded = false;
-  /** Monotonic milliseconds at which the fabric last handed a packet over. */
-  private lastPacketAt = -Infinity;
 
   private constructor(private readonly options: EntryDaemonOptions) {
     const {settings, hasher, random} = options;
@@ -81,6 +70,7 @@
     this.work = ServerWorkLedger.create(hasher);
     this.placement = options.placement ?? OwnWorkPlacement.create();
     this.router = this.createRouter();
+    this.packets = this.createPackets();
     this.turns = this.createTurns();
     this.reach = this.createReachability();
     this.spread = this.createSpread();
@@ -99,7 +89,9 @@
   async run(): Promise<void> {
     const {fabric, log, settings} = this.options;
     this.catalog.onChange(change => this.noteChange(change));
-    this.whenComplete(() => fabric.onPacket(packet => this.handle(packet)));
+    this.whenComplete(() =>
+      fabric.onPacket(packet => this.packets.handle(packet)),
+    );
     this.stops.push(await this.spread.start());
     this.stops.push(this.reader.start());
     log.info('started', {
@@ -159,7 +151,7 @@
       peers: this.peers,
       failureDomain: settings.failureDomain,
       stopLimitMs: settings.stopLimitMs,
-      lastPacketAt: () => this.lastPacketAt,
+      lastPacketAt: () => this.packets.lastPacketAt,
     });
     log.warn('stopping', this.versions());
     await stop.awaitTurn();
@@ -173,7 +165,7 @@
     this.options.fabric.close();
     log.warn('stopped', {
       flows: this.router.flows.size,
-      quietMs: Math.round(clock.now() - this.lastPacketAt),
+      quietMs: Math.round(clock.now() - this.packets.lastPacketAt),
     });
   }
 
@@ -206,6 +198,21 @@
       regionOf: domain => settings.regions.get(domain),
       coldLimits: settings.coldLimits,
       countDaemons: () => this.peers.countDaemons(clock.now()),
+      ratings: EqualRatings.create(),
+      observer: undefined,
+    });
+  }
+
+  private createPackets(): PacketTask {
+    const {fabric, counters, clock, log} = this.options;
+    return PacketTask.create({
+      fabric,
+      counters,
+      clock,
+      log,
+      router: this.router,
+      work: this.work,
+      versions: () => this.versions(),
     });
   }
 
@@ -238,7 +245,7 @@
       vote: (daemon, server, result) =>
         this.spread.vote(daemon, server, result),
       announce: () => this.spread.announce(),
-      onUnreachable: server => this.resetWaiting(server),
+      onUnreachable: server => this.packets.resetWaiting(server),
     });
   }
 
@@ -294,102 +301,15 @@
     };
   }
 
-  /** Forwards or refuses a packet; only openings and refusals are logged. */
-  private handle(packet: CookiePacket): void {
-    const {fabric, counters, clock, log} = this.options;
-    this.lastPacketAt = clock.now();
-    const decision = this.router.decide(packet);
-    if (decision.verdict !== Verdict.FORWARD) {
-      this.refuse(packet, decision);
-      return;
-    }
-    const {server, cookie} = decision;
-    counters.add(Metric.PACKETS_FORWARDED);
-    fabric.forward(packet, server, cookie);
-    this.noteFirst();
-    if (packet.opens) {
-      log.info('flow-placed', {
-        ...flowOf(packet),
-        server: server.id,
-        copy: packet.openCopy,
-        unfinished: this.work.ownUnfinished(server.id),
-        ...this.versions(),
-      });
-    }
-  }
-
-  private refuse(packet: CookiePacket, refusal: CookieRefusal): void {
-    const {fabric, counters, log} = this.options;
-    counters.add(
-      refusal.reason === RefusalReason.NO_ROUTE
-        ? Metric.PACKETS_UNKNOWN_ADDRESS
-        : Metric.PACKETS_UNROUTABLE,
-    );
-    if (refusal.verdict === Verdict.RESET) {
-      fabric.reset(packet);
-    }
-    log.info('packet-refused', {
-      ...flowOf(packet),
-      reason: refusal.reason,
-      outcome: refusal.verdict,
-      cookie: packet.cookie,
-      ...this.versions(),
-    });
-  }
-
-  /** Logs how long the daemon took from its start to its first packet. */
-  private noteFirst(): void {
-    if (!this.hasForwarded) {
-      this.hasForwarded = true;
-      const {log, clock} = this.options;
-      log.info('first-packet', sinceStart(clock));
-    }
-  }
-
   /** Peers are told at once: each opening that they send there is lost. */
   private noteSilent(server: string): void {
     this.options.log.info('server-silent', {server});
     this.spread.announce();
   }
 
-  /** Callers that wait for a server that cannot be reached come again elsewhere. */
-  private resetWaiting(server: CatalogServer): void {
-    const {fabric, log, counters} = this.options;
-    this.router.takeCutOff(server).forEach(caller => {
-      fabric.reset(caller);
-      counters.add(Metric.PACKETS_UNROUTABLE);
-      log.info('flow-reset', {
-        ...flowOf(caller),
-        server: server.id,
-        reason: RefusalReason.SERVER_UNREACHABLE,
-      });
-    });
-  }
-
   /** Logs a change; the work of departed servers is forgotten. */
   private noteChange(change: CatalogChange): void {
-    const {log} = this.options;
-    if (change.routeVersion !== undefined) {
-      log.warn('routes-taken', this.versions());
-    }
-    if (change.isFirstListing) {
-      // One line in place of one a server: all daemons may start at once.
-      const servers = change.changed.length;
-      log.info('servers-taken', {servers, ...this.versions()});
-    } else {
-      change.changed.forEach(({id, service, state}) =>
-        log.info('server-state', {server: id, service, state}),
-      );
-    }
-    change.departed.forEach(({id, service}) =>
-      log.info('server-departed', {server: id, service}),
-    );
-    change.domains.forEach(({failureDomain, isEvacuated}) =>
-      log.warn(isEvacuated ? 'domain-evacuated' : 'domain-restored', {
-        failureDomain,
-        ...this.versions(),
-      }),
-    );
+    logChange(this.options.log, change, this.versions());
     this.reach.noteListing(change.changed, change.departed);
     if (change.departed.length > 0) {
       this.work.retain(this.catalog.allServers().map(({id}) => id));
@@ -398,29 +318,6 @@
 
   /** Versions and ages of what decisions are made from. */
   private versions(): LogFields {
-    const now = this.options.clock.now();
-    const {stamp} = this.catalog;
-    return {
-      routeVersion: stamp.routeVersion,
-      routesAgeMs: Math.round(now - stamp.routesConfirmedAt),
-      serverRevision: stamp.serverRevision,
-      serversAgeMs: Math.round(now - stamp.serversConfirmedAt),
-    };
+    return versionsOf(this.catalog, this.options.clock.now());
   }
 }
-
-/** The flow of a packet, as it is logged. */
-function flowOf(packet: CallerPosition): LogFields {
-  const source = `${formatIpv4(packet.sourceAddress)}:${packet.sourcePort}`;
-  const destination = `${formatIpv4(packet.destinationAddress)}:${packet.destinationPort}`;
-  return {source, destination};
-}
-
-/** Processor time and time since the process started; both in milliseconds. */
-function sinceStart(clock: Clock): LogFields {
-  const {user, system} = process.cpuUsage();
-  return {
-    processorMs: Math.round((user + system) / MICROSECONDS_A_MILLISECOND),
-    sinceStartMs: Math.round(clock.now()),
-  };
-}
--- a/src/entry/evacuation.spec.ts
+++ b/src/entry/evacuation.spec.ts
@@ -11,22 +11,15 @@
 import type {CookieCaller} from '../../standins/cookie-callers.js';
 import {CookieWorld, type WorldPlan} from '../../standins/cookie-world.js';
 import {strike} from '../../standins/world-faults.js';
+import {createRoute} from '../../standins/catalog-records.js';
 
 const BOUNDS = {drainMs: 5_000, configurationMs: 5_000, evacuationMs: 5_000};
-const PAY = {
-  address: 0xc6120001,
-  port: 443,
-  shares: [{service: 'pay', weight: 1}],
-  repeatable: false,
-  regions: [],
-};
-const DOCS = {
+const PAY = createRoute('pay', {address: 0xc6120001, port: 443});
+const DOCS = createRoute('docs', {
   address: 0xc6120002,
   port: 443,
-  shares: [{service: 'docs', weight: 1}],
   repeatable: true,
-  regions: [],
-};
+});
 const DOMAINS = ['a', 'b', 'c'];
 const LONG_CALL_MS = 20_000;
 
--- a/src/entry/large-fleet.spec.ts
+++ b/src/entry/large-fleet.spec.ts
@@ -8,14 +8,9 @@
 import {formatIpv4} from '../routing/ipv4.js';
 import {OutageKind} from '../../standins/catalog-store.js';
 import {CookieWorld} from '../../standins/cookie-world.js';
+import {createRoute} from '../../standins/catalog-records.js';
 
-const ROUTE = {
-  address: 0xc6120001,
-  port: 443,
-  shares: [{service: 'pay', weight: 1}],
-  repeatable: false,
-  regions: [],
-};
+const ROUTE = createRoute('pay', {address: 0xc6120001, port: 443});
 const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
 const CALM_MS = 20_000;
 
--- a/src/entry/settings-file.spec.ts
+++ b/src/entry/settings-file.spec.ts
@@ -31,6 +31,7 @@
     'cold-excess': '1.5',
     'cold-slack': '5',
   },
+  features: {base: 'true', pressure: 'true'},
   regions: {a: 'east'},
   'not-known': {key: 'value'},
 };
@@ -60,6 +61,7 @@
     flowLifetimeMs: 60_000,
     inForceLimitMs: 3_000,
     coldLimits: {excess: 1.5, slack: 5},
+    features: {feedback: false, pressure: true},
   });
 });
 
@@ -70,6 +72,12 @@
   assert.equal(settings.isFirstStart, false);
 });
 
+test('what a deployment does not ask for is off', () => {
+  const none = {pressure: '', base: ''};
+  const {features} = read('features', none)._unsafeUnwrap();
+  assert.deepEqual(features, {feedback: false, pressure: false});
+});
+
 const WRONG: ReadonlyArray<[string, string, Section, RegExp]> = [
   [
     'no address',
--- a/src/entry/settings-file.ts
+++ b/src/entry/settings-file.ts
@@ -60,6 +60,10 @@
       excess: reader.number('limits', 'cold-excess', 1),
       slack: reader.number('limits', 'cold-slack', 0),
     },
+    features: {
+      feedback: reader.flag('features', 'health'),
+      pressure: reader.flag('features', 'pressure'),
+    },
   };
 }
 
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -1,6 +1,17 @@
 /** Settings of a daemon that serves a fabric with cookies. */
 import type {ColdLimits} from '../routing/cold-openings.js';
 
+/** What a deployment asks for beyond forwarding; all are off unless it does. */
+export interface EntryFeatures {
+  /**
+   * What servers say of their health may mislead: callers' packets decide beside it who
+   * gets new flows, and how many.
+   */
+  readonly feedback: boolean;
+  /** Callers may compete for room: requests are paced by urgency while there is too little. */
+  readonly pressure: boolean;
+}
+
 /** What one process is told at its start. */
 export interface EntrySettings {
   readonly name: string;
@@ -38,4 +49,5 @@
   readonly inForceLimitMs: number;
   /** What cold servers take beyond the rate that their service states. */
   readonly coldLimits: ColdLimits;
+  readonly features: EntryFeatures;
 }
--- a/src/entry/silent-servers.spec.ts
+++ b/src/entry/silent-servers.spec.ts
@@ -8,22 +8,15 @@
 import type {CookieCaller} from '../../standins/cookie-callers.js';
 import type {CookieServer} from '../../standins/cookie-servers.js';
 import {CookieWorld} from '../../standins/cookie-world.js';
+import {createRoute} from '../../standins/catalog-records.js';
 
 const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
-const PAY = {
-  address: 0xc6120001,
-  port: 443,
-  shares: [{service: 'pay', weight: 1}],
-  repeatable: false,
-  regions: [],
-};
-const FEED = {
+const PAY = createRoute('pay', {address: 0xc6120001, port: 443});
+const FEED = createRoute('feed', {
   address: 0xc6120002,
   port: 443,
-  shares: [{service: 'feed', weight: 1}],
   repeatable: true,
-  regions: [],
-};
+});
 const SERVERS = 40;
 const LONG_CALL_MS = 30_000;
 /** Requests of a flow that lasts for all of a test. */
--- a/src/entry/start.spec.ts
+++ b/src/entry/start.spec.ts
@@ -4,22 +4,15 @@
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
 import {OutageKind, STORE_LINK} from '../../standins/catalog-store.js';
 import {CookieWorld} from '../../standins/cookie-world.js';
+import {createRoute} from '../../standins/catalog-records.js';
 
 const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
-const PAY = {
-  address: 0xc6120001,
-  port: 443,
-  shares: [{service: 'pay', weight: 1}],
-  repeatable: false,
-  regions: [],
-};
-const DOCS = {
+const PAY = createRoute('pay', {address: 0xc6120001, port: 443});
+const DOCS = createRoute('docs', {
   address: 0xc6120002,
   port: 443,
-  shares: [{service: 'docs', weight: 1}],
   repeatable: true,
-  regions: [],
-};
+});
 /** How far the store's old reads lie back, in milliseconds. */
 const LAG_MS = 5_000;
 
--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -8,7 +8,7 @@
   CatalogServer,
   ServerState,
 } from '../catalog/records.js';
-import type {CookiePacket} from '../ports/cookie-fabric.js';
+import {EqualRatings} from '../feedback/server-ratings.js';
 import {FakeClock} from '../../standins/fake-clock.js';
 import {
   CookieRouter,
@@ -19,25 +19,19 @@
 import {LightestPlacement} from './placement.js';
 import {Random} from './random.js';
 import {ServerWorkLedger} from './server-work.js';
+import {createRoute} from '../../standins/catalog-records.js';
+import {createPacket} from '../../standins/cookie-packets.js';
 
 const hasher = await XxhashHasher.create();
 const ADDRESS = 0xc6120001;
-const ROUTE = {
-  address: ADDRESS,
-  port: 443,
-  shares: [{service: 'pay', weight: 1}],
-  repeatable: false,
-  regions: [],
-};
+const ROUTE = createRoute('pay', {address: ADDRESS, port: 443});
 
 /** Another destination, of another service. */
-const DOCS = {
+const DOCS = createRoute('docs', {
   address: ADDRESS + 1,
   port: 443,
-  shares: [{service: 'docs', weight: 1}],
   repeatable: true,
-  regions: [],
-};
+});
 const REGIONS = new Map([
   ['a', 'east'],
   ['b', 'west'],
@@ -92,29 +86,12 @@
     regionOf: domain => REGIONS.get(domain),
     coldLimits: {excess: 1.5, slack: 5},
     countDaemons: () => 8,
+    ratings: EqualRatings.create(),
+    observer: undefined,
   });
   return {clock, catalog, work, router, silent, unreachable};
 }
 
-function packetOf(part: Partial<CookiePacket> = {}): CookiePacket {
-  return {
-    sourceAddress: 1,
-    sourcePort: 1_000,
-    destinationAddress: ADDRESS,
-    destinationPort: 443,
-    opens: false,
-    closes: false,
-    resets: false,
-    cookie: 0,
-    sequence: 0,
-    acknowledged: 0,
-    openCopy: 0,
-    dataLength: 0,
-    bytes: new Uint8Array(0),
-    ...part,
-  };
-}
-
 /** The cookie of a server at a destination, as daemons write it into packets. */
 function cookieAt(
   catalog: Catalog,
@@ -136,34 +113,36 @@
 
 test("a copy of an opening goes to another server, a late copy to the flow's own", () => {
   const {router} = createRouter([serverOf('i-1'), serverOf('i-2')]);
-  const first = router.decide(packetOf({opens: true}));
-  const second = router.decide(packetOf({opens: true, openCopy: 1}));
+  const first = router.decide(createPacket({opens: true}));
+  const second = router.decide(createPacket({opens: true, openCopy: 1}));
   assert.notEqual(serverIn(first), serverIn(second));
-  router.decide(packetOf({cookie: cookieIn(first)}));
-  const late = router.decide(packetOf({opens: true, openCopy: 2}));
+  router.decide(createPacket({cookie: cookieIn(first)}));
+  const late = router.decide(createPacket({opens: true, openCopy: 2}));
   assert.equal(serverIn(late), serverIn(first));
 });
 
 test('a flow stays at the server that its first packet named, whatever cookie comes later', () => {
   const {router} = createRouter([serverOf('i-1'), serverOf('i-2')]);
-  const first = router.decide(packetOf({opens: true}));
-  const second = router.decide(packetOf({opens: true, openCopy: 1}));
-  router.decide(packetOf({cookie: cookieIn(first)}));
-  const later = router.decide(packetOf({cookie: cookieIn(second)}));
+  const first = router.decide(createPacket({opens: true}));
+  const second = router.decide(createPacket({opens: true, openCopy: 1}));
+  router.decide(createPacket({cookie: cookieIn(first)}));
+  const later = router.decide(createPacket({cookie: cookieIn(second)}));
   assert.equal(serverIn(later), serverIn(first));
 });
 
 test('any daemon follows a cookie that it has never given out', () => {
   const servers = [serverOf('i-1'), serverOf('i-2')];
-  const opened = createRouter(servers).router.decide(packetOf({opens: true}));
+  const opened = createRouter(servers).router.decide(
+    createPacket({opens: true}),
+  );
   const other = createRouter(servers).router;
-  const followed = other.decide(packetOf({cookie: cookieIn(opened)}));
+  const followed = other.decide(createPacket({cookie: cookieIn(opened)}));
   assert.equal(serverIn(followed), serverIn(opened));
 });
 
 test('an unknown destination is refused aloud only while no route can be in force that is not known', async () => {
   const {router, clock} = createRouter([serverOf('i-1')]);
-  const unknown = packetOf({opens: true, destinationPort: 444});
+  const unknown = createPacket({opens: true, destinationPort: 444});
   await clock.advance(2_700);
   assert.equal(router.decide(unknown).verdict, 'reset');
   await clock.advance(250);
@@ -177,7 +156,7 @@
   ]);
   const foreign = cookieAt(catalog, serverOf('i-9', 'docs'), DOCS);
   [0, 12_345, foreign].forEach(cookie =>
-    assert.deepEqual(router.decide(packetOf({cookie})), {
+    assert.deepEqual(router.decide(createPacket({cookie})), {
       verdict: 'drop',
       reason: 'unknown-cookie',
     }),
@@ -191,12 +170,12 @@
   ]);
   // A version before the only one that is known gave the route to 'docs' too.
   const cookie = cookieAt(catalog, serverOf('i-9', 'docs'), ROUTE);
-  assert.equal(serverIn(router.decide(packetOf({cookie}))), 'i-9');
-  const opening = router.decide(packetOf({opens: true, sourcePort: 2}));
+  assert.equal(serverIn(router.decide(createPacket({cookie}))), 'i-9');
+  const opening = router.decide(createPacket({opens: true, sourcePort: 2}));
   assert.equal(serverIn(opening), 'i-1', 'no new flow goes there');
   await clock.advance(FLOW_LIFETIME_MS);
   catalog.confirmAll(clock.now());
-  const late = router.decide(packetOf({cookie, sourcePort: 3}));
+  const late = router.decide(createPacket({cookie, sourcePort: 3}));
   assert.equal(serverIn(late), 'unknown-cookie', 'no such flow lives any more');
 });
 
@@ -209,7 +188,7 @@
     await clock.advance(milliseconds);
     catalog.confirmAll(clock.now());
   };
-  const stranger = packetOf({cookie: 12_345});
+  const stranger = createPacket({cookie: 12_345});
   assert.equal(router.decide(stranger).verdict, 'drop');
   await confirm(400);
   assert.equal(router.decide(stranger).verdict, 'drop', 'not steady yet');
@@ -221,7 +200,7 @@
   assert.equal(router.decide(stranger).verdict, 'drop', 'it may serve on');
   await confirm(500);
   assert.equal(router.decide(stranger).verdict, 'reset');
-  const late = packetOf({cookie: 54_321});
+  const late = createPacket({cookie: 54_321});
   assert.equal(router.decide(late).verdict, 'drop', 'seen after the read');
   await confirm(100);
   assert.equal(router.decide(late).verdict, 'drop', 'read hardly later');
@@ -230,9 +209,9 @@
     await confirm(500);
   }
   const foreign = cookieAt(catalog, serverOf('i-9', 'docs'), ROUTE);
-  router.decide(packetOf({cookie: foreign}));
+  router.decide(createPacket({cookie: foreign}));
   await confirm(500);
-  assert.equal(router.decide(packetOf({cookie: foreign})).verdict, 'drop');
+  assert.equal(router.decide(createPacket({cookie: foreign})).verdict, 'drop');
 });
 
 test('draining servers get no openings and keep their flows', () => {
@@ -241,16 +220,16 @@
     serverOf('i-2'),
   ]);
   const openings = Array.from({length: 20}, (_flow, index) =>
-    serverIn(router.decide(packetOf({opens: true, sourcePort: index}))),
+    serverIn(router.decide(createPacket({opens: true, sourcePort: index}))),
   );
   assert.deepEqual([...new Set(openings)], ['i-2']);
   const cookie = cookieAt(catalog, serverOf('i-1'), ROUTE);
-  assert.equal(serverIn(router.decide(packetOf({cookie}))), 'i-1');
+  assert.equal(serverIn(router.decide(createPacket({cookie}))), 'i-1');
 });
 
 test('what the catalog does not hold is refused while it is current, and dropped when it is old', async () => {
   const {router, clock} = createRouter([serverOf('i-1')]);
-  const stranger = packetOf({opens: true, destinationPort: 80});
+  const stranger = createPacket({opens: true, destinationPort: 80});
   assert.deepEqual(router.decide(stranger), {
     verdict: 'reset',
     reason: 'no-route',
@@ -264,7 +243,9 @@
 
 test("a caller's own reset is never answered with a reset", () => {
   const {router} = createRouter([serverOf('i-1')]);
-  const given = router.decide(packetOf({resets: true, destinationPort: 80}));
+  const given = router.decide(
+    createPacket({resets: true, destinationPort: 80}),
+  );
   assert.equal(given.verdict, 'drop');
 });
 
@@ -273,15 +254,15 @@
     serverOf('i-1'),
     serverOf('i-9', 'docs'),
   ]);
-  const opened = router.decide(packetOf({opens: true}));
+  const opened = router.decide(createPacket({opens: true}));
   const moved = {...ROUTE, shares: [{service: 'docs', weight: 1}]};
   catalog.takeRoutes(
     {version: 2, routes: [moved], coldServices: []},
     clock.now(),
   );
-  const kept = router.decide(packetOf({cookie: cookieIn(opened)}));
+  const kept = router.decide(createPacket({cookie: cookieIn(opened)}));
   assert.equal(serverIn(kept), 'i-1');
-  const fresh = router.decide(packetOf({opens: true, sourcePort: 7}));
+  const fresh = router.decide(createPacket({opens: true, sourcePort: 7}));
   assert.equal(serverIn(fresh), 'i-9');
 });
 
@@ -293,20 +274,22 @@
   ]);
   work.noteUnanswered('i-1', clock.now());
   const around = Array.from({length: 30}, (_flow, index) =>
-    serverIn(router.decide(packetOf({opens: true, sourcePort: index}))),
+    serverIn(router.decide(createPacket({opens: true, sourcePort: index}))),
   );
   assert.equal(around.includes('i-1'), false);
   work.noteUnanswered('i-2', clock.now());
   const all = Array.from({length: 30}, (_flow, index) =>
-    serverIn(router.decide(packetOf({opens: true, sourcePort: 100 + index}))),
+    serverIn(
+      router.decide(createPacket({opens: true, sourcePort: 100 + index})),
+    ),
   );
   assert.equal(new Set(all).size, 3);
 });
 
 test('a packet of data sent again is a sign against its server', () => {
   const {router, silent} = createRouter([serverOf('i-1'), serverOf('i-2')]);
-  const opened = router.decide(packetOf({opens: true}));
-  const data = packetOf({
+  const opened = router.decide(createPacket({opens: true}));
+  const data = createPacket({
     cookie: cookieIn(opened),
     dataLength: 10,
     sequence: 5,
@@ -335,7 +318,7 @@
   const {catalog, router} = createRouter([east, west, nowhere]);
   const openAll = () =>
     Array.from({length: 30}, (_packet, index) =>
-      router.decide(packetOf({opens: true, sourcePort: 2_000 + index})),
+      router.decide(createPacket({opens: true, sourcePort: 2_000 + index})),
     );
   const bindTo = (version: number, regions: readonly string[]) =>
     catalog.takeRoutes(
@@ -369,7 +352,7 @@
   const countAt = (id: string) =>
     Array.from({length: 200}, () => {
       port += 1;
-      return router.decide(packetOf({opens: true, sourcePort: port}));
+      return router.decide(createPacket({opens: true, sourcePort: port}));
     }).filter(
       decision =>
         decision.verdict === Verdict.FORWARD && decision.server.id === id,
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -3,18 +3,16 @@
  * every later packet goes to the server that its cookie names, so any daemon
  * decides alike without memory of the flow.
  */
-import type {Catalog} from '../catalog/catalog.js';
 import {NO_COOKIE} from '../catalog/cookie-index.js';
 import type {CatalogServer} from '../catalog/records.js';
 import type {KnownRoute} from '../catalog/route-table.js';
 import type {Clock} from '../ports/clock.js';
 import type {CallerPosition, CookiePacket} from '../ports/cookie-fabric.js';
 import type {Counters} from '../ports/counters.js';
-import {ColdOpenings, type ColdLimits} from './cold-openings.js';
-import type {Candidate, Placement} from './placement.js';
-import type {Random} from './random.js';
+import type {RequestObserver} from './request-outcome.js';
+import {RequestWatch} from './request-watch.js';
 import {SeenFlows} from './seen-flows.js';
-import type {ServerWorkLedger} from './server-work.js';
+import {ServerChoice, type ServerChoiceOptions} from './server-choice.js';
 import {UnknownCookies} from './unknown-cookies.js';
 
 /**
@@ -23,15 +21,6 @@
  */
 const REFUSAL_MARGIN_MS = 200;
 
-/**
- * Servers that are weighed for one opening: with 32, one that is idle is among
- * them for certain enough, and the cost does not grow with the service.
- */
-const LARGEST_CHOICE = 32;
-
-/** Share of its slots that a server has while it is slow from its start. */
-const COLD_SHARE = 0.6;
-
 /** What becomes of a packet. */
 export const Verdict = {
   FORWARD: 'forward',
@@ -74,41 +63,31 @@
 export type CookieDecision = CookieForward | CookieRefusal;
 
 /** What a router is made from. */
-export interface CookieRouterOptions {
-  readonly catalog: Catalog;
-  readonly work: ServerWorkLedger;
-  readonly placement: Placement;
+export interface CookieRouterOptions extends ServerChoiceOptions {
   readonly clock: Clock;
-  readonly random: Random;
   readonly counters: Counters;
   /** Time in which a version has to be in force everywhere, in milliseconds. */
   readonly inForceLimitMs: number;
-  /** Told of a server that left a packet unanswered and is avoided from now on. */
-  onSilent(server: CatalogServer): void;
-  /** Told of each packet that a server left unanswered. */
-  onUnanswered(server: CatalogServer): void;
-  /** Whether daemons of several failure domains cannot reach a server. */
-  isUnreachable(server: string): boolean;
-  /** The region of a failure domain; undefined if none is known. */
-  regionOf(failureDomain: string): string | undefined;
-  readonly coldLimits: ColdLimits;
-  /** How many daemons open flows; undefined while that is not known. */
-  countDaemons(): number | undefined;
+  /** Told of callers' requests as they end; undefined where nobody asks. */
+  readonly observer: RequestObserver | undefined;
 }
 
 /** Decides on packets that carry cookies. */
 export class CookieRouter {
   readonly flows: SeenFlows;
+  private readonly watch: RequestWatch | undefined;
   private readonly unknown = UnknownCookies.create();
-  private readonly coldOpenings: ColdOpenings;
+  private readonly choice: ServerChoice;
 
   private constructor(private readonly options: CookieRouterOptions) {
-    const {counters, work, clock, coldLimits, random} = options;
-    this.coldOpenings = ColdOpenings.create(coldLimits, random);
+    const {counters, work, clock, observer} = options;
+    this.choice = ServerChoice.create(options);
+    this.watch = observer && RequestWatch.create(observer);
     this.flows = SeenFlows.create({
       counters,
       work,
-      onUnanswered: server => this.noteUnanswered(server, clock.now()),
+      watch: this.watch,
+      onUnanswered: server => this.choice.noteUnanswered(server, clock.now()),
     });
   }
 
@@ -130,6 +109,11 @@
     return packet.opens ? this.open(packet, route) : this.follow(packet, route);
   }
 
+  /** Tells the observer of requests that have ended by now. */
+  settleRequests(): void {
+    this.watch?.settle(this.options.clock.now());
+  }
+
   /** Sends a later packet where its cookie says. */
   private follow(packet: CookiePacket, route: KnownRoute): CookieDecision {
     const {catalog, clock} = this.options;
@@ -137,7 +121,7 @@
     if (packet.cookie === NO_COOKIE || named === undefined) {
       return this.refuseUnknown(packet, route);
     }
-    const server = this.flows.notePacket(packet, named, clock.now());
+    const server = this.flows.notePacket(packet, route, named, clock.now());
     if (catalog.isGone(server)) {
       return this.refuse(packet, RefusalReason.SERVER_GONE);
     }
@@ -209,15 +193,15 @@
       return this.repeatOpening(known.server, route);
     }
     const tried = known === undefined || known.isOpen ? [] : known.tried;
-    tried.slice(-1).forEach(last => this.noteUnanswered(last, now));
-    const server = this.place(route, tried, now);
+    tried.slice(-1).forEach(last => this.choice.noteUnanswered(last, now));
+    const server = this.choice.choose(route, tried, now);
     const cookie =
       server === undefined ? undefined : catalog.cookieOf(server, route);
     if (server === undefined || cookie === undefined) {
       return this.refuse(packet, RefusalReason.NO_SERVER);
     }
     this.flows.noteOpening(packet, server, now);
-    this.noteColdOpening(server, now);
+    this.choice.noteOpening(server, now);
     return {verdict: Verdict.FORWARD, server, cookie};
   }
 
@@ -230,154 +214,6 @@
     return {verdict: Verdict.FORWARD, server, cookie};
   }
 
-  /** Counts a packet without an answer; tells of a server that falls silent. */
-  private noteUnanswered(server: CatalogServer, now: number): void {
-    if (this.options.work.noteUnanswered(server.id, now)) {
-      this.options.onSilent(server);
-    }
-    this.options.onUnanswered(server);
-  }
-
-  /** A server for a new flow; undefined when the route's service has none. */
-  private place(
-    route: KnownRoute,
-    tried: readonly CatalogServer[],
-    now: number,
-  ): CatalogServer | undefined {
-    const {catalog, placement, random} = this.options;
-    const service = this.chooseService(route);
-    const open = this.withinRegions(catalog.openServers(service), route);
-    const admitted = this.withinColdRate(open, service, now);
-    const servers = this.sample(admitted).filter(
-      server => catalog.cookieOf(server, route) !== undefined,
-    );
-    this.noteOverdue(servers, now);
-    const usable = this.usableOf(servers, tried, now);
-    if (usable.length === 0) {
-      return undefined;
-    }
-    const candidates = usable.map((server, index) =>
-      this.candidateOf(server, index, now),
-    );
-    return usable[placement.choose(candidates, random.below(usable.length))];
-  }
-
-  /** Servers that may take a route's flows: all, unless it is bound to regions. */
-  private withinRegions(
-    servers: readonly CatalogServer[],
-    {regions}: KnownRoute,
-  ): readonly CatalogServer[] {
-    return regions.length === 0
-      ? servers
-      : servers.filter(({failureDomain}) => {
-          const region = this.options.regionOf(failureDomain);
-          return region !== undefined && regions.includes(region);
-        });
-  }
-
-  /**
-   * Warm servers alone, where a service states what a cold one takes. While it has none,
-   * the cold ones at which this daemon may open a flow now; none if the daemons cannot
-   * be counted.
-   */
-  private withinColdRate(
-    servers: readonly CatalogServer[],
-    service: string,
-    now: number,
-  ): readonly CatalogServer[] {
-    const {catalog} = this.options;
-    const rate = catalog.coldRateOf(service);
-    if (rate === 0) {
-      return servers;
-    }
-    const warm = servers.filter(server => !catalog.isCold(server, now));
-    const daemons = this.options.countDaemons();
-    if (warm.length > 0 || daemons === undefined) {
-      return warm;
-    }
-    return servers.filter(({id}) =>
-      this.coldOpenings.admits(id, rate, daemons, now),
-    );
-  }
-
-  /** A cold server that took a flow takes the next by a new chance. */
-  private noteColdOpening(server: CatalogServer, now: number): void {
-    const {catalog} = this.options;
-    const rate = catalog.coldRateOf(server.service);
-    const daemons = this.options.countDaemons();
-    if (rate > 0 && daemons !== undefined && catalog.isCold(server, now)) {
-      this.coldOpenings.noteOpening(server.id, rate, daemons, now);
-    }
-  }
-
-  /** All of a small service; of a large one some neighbours, by chance. */
-  private sample(servers: readonly CatalogServer[]): readonly CatalogServer[] {
-    if (servers.length <= LARGEST_CHOICE) {
-      return servers;
-    }
-    const start = this.options.random.below(servers.length);
-    const end = servers.slice(start, start + LARGEST_CHOICE);
-    return [...end, ...servers.slice(0, LARGEST_CHOICE - end.length)];
-  }
-
-  /** Servers that left an opening unanswered for longer than usual are avoided. */
-  private noteOverdue(servers: readonly CatalogServer[], now: number): void {
-    const {work} = this.options;
-    servers
-      .filter(({id}) => work.hasRefused(id, now))
-      .forEach(server => this.noteUnanswered(server, now));
-  }
-
-  /**
-   * Servers not tried yet that answer. When fewer than half of the servers
-   * answer, silence counts for nothing: it may be this daemon's network.
-   */
-  private usableOf(
-    servers: readonly CatalogServer[],
-    tried: readonly CatalogServer[],
-    now: number,
-  ): readonly CatalogServer[] {
-    const {work} = this.options;
-    const answering = servers.filter(
-      ({id}) => !work.isSilent(id, now) && !this.options.isUnreachable(id),
-    );
-    const trusted =
-      answering.length * 2 >= servers.length ? answering : servers;
-    const untried = trusted.filter(
-      ({id}) => !tried.some(server => server.id === id),
-    );
-    return untried.length > 0 ? untried : trusted;
-  }
-
-  /** A server as the placement sees it; `index` is its position in the choice. */
-  private candidateOf(
-    server: CatalogServer,
-    index: number,
-    now: number,
-  ): Candidate {
-    const {work, placement, catalog} = this.options;
-    const warm = catalog.isCold(server, now) ? COLD_SHARE : 1;
-    const ownFlows = work.ownUnfinished(server.id);
-    const flows = placement.usesPeerWork
-      ? work.unfinished(server.id, now)
-      : ownFlows;
-    return {server: index, weight: server.slots * warm, flows, ownFlows};
-  }
-
-  /** One of the route's services, by their weights. */
-  private chooseService(route: KnownRoute): string {
-    const total = route.shares.reduce((sum, {weight}) => sum + weight, 0);
-    const point = this.options.random.next() * total;
-    // The end of each share on the line from 0 to the total.
-    const ends = route.shares.map((_share, index) =>
-      route.shares
-        .slice(0, index + 1)
-        .reduce((sum, {weight}) => sum + weight, 0),
-    );
-    const index = ends.findIndex(end => point < end);
-    return route.shares[Math.max(0, index)]?.service ?? '';
-  }
-
   /** Refuses aloud only what the catalog surely does not hold. */
   private refuse(packet: CookiePacket, reason: RefusalReason): CookieRefusal {
     if (packet.resets) {
--- a/src/routing/seen-flows.ts
+++ b/src/routing/seen-flows.ts
@@ -6,7 +6,9 @@
 import type {CatalogServer} from '../catalog/records.js';
 import type {CallerPosition, CookiePacket} from '../ports/cookie-fabric.js';
 import {Metric, type Counters} from '../ports/counters.js';
+import type {KnownRoute} from '../catalog/route-table.js';
 import {destinationKey} from './flow-key.js';
+import type {RequestWatch} from './request-watch.js';
 import type {ServerWorkLedger} from './server-work.js';
 
 /** Flows kept at the most; 300 bytes each. */
@@ -60,6 +62,8 @@
   readonly counters: Counters;
   /** Where requests and silences are counted. */
   readonly work: ServerWorkLedger;
+  /** Follows requests to their ends; undefined where nobody asks for them. */
+  readonly watch: RequestWatch | undefined;
   /** Told of a server that left a packet without an answer. */
   onUnanswered(server: CatalogServer): void;
 }
@@ -98,6 +102,7 @@
         now - flow.seenAt <= LONGEST_REPEAT_MS,
     );
     waiting.forEach(flow => this.finish(flow));
+    waiting.forEach(({caller}) => this.options.watch?.drop(keyOf(caller)));
     return waiting.map(({caller}) => caller);
   }
 
@@ -128,6 +133,7 @@
    */
   notePacket(
     packet: CookiePacket,
+    route: KnownRoute,
     named: CatalogServer,
     now: number,
   ): CatalogServer {
@@ -144,10 +150,12 @@
     flow.seenAt = now;
     this.noteProgress(flow, packet, now);
     this.noteRepeat(flow, packet);
+    const server = flow.tried.length > 0 ? flow.server : named;
+    this.options.watch?.notePacket(keyOf(packet), packet, route, server, now);
     if (packet.closes || packet.resets) {
       this.end(packet, flow, now);
     }
-    return flow.tried.length > 0 ? flow.server : named;
+    return server;
   }
 
   /** Records a flow whose opening this daemon did not see. */
@@ -276,7 +284,7 @@
   };
 }
 
-function keyOf(packet: CookiePacket): string {
+function keyOf(packet: CallerPosition): string {
   const source = destinationKey(packet.sourceAddress, packet.sourcePort);
   const destination = destinationKey(
     packet.destinationAddress,
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -11,7 +11,7 @@
   RouteListing,
 } from '../src/catalog/records.js';
 import {EntryDaemon} from '../src/entry/entry-daemon.js';
-import type {EntrySettings} from '../src/entry/settings.js';
+import type {EntryFeatures, EntrySettings} from '../src/entry/settings.js';
 import type {CallerPosition, CookiePacket} from '../src/ports/cookie-fabric.js';
 import type {Hasher} from '../src/ports/hasher.js';
 import type {ColdLimits} from '../src/routing/cold-openings.js';
@@ -55,6 +55,8 @@
 /** What cold servers take, as on the users' platform. */
 export const COLD_LIMITS: ColdLimits = {excess: 1.5, slack: 5};
 
+const NO_FEATURES: EntryFeatures = {feedback: false, pressure: false};
+
 /** How the world is laid out. */
 export interface WorldPlan {
   readonly seed: number;
@@ -77,6 +79,8 @@
   readonly linksMbps?: readonly number[];
   /** How daemons place; the usual way if undefined. */
   readonly placement?: Placement;
+  /** What the deployment asks for; nothing if undefined. */
+  readonly features?: EntryFeatures;
 }
 
 /** One daemon, running or not. */
@@ -381,6 +385,7 @@
           this.plan.bounds.evacuationMs,
         ),
         coldLimits: COLD_LIMITS,
+        features: this.plan.features ?? NO_FEATURES,
       },
       running: undefined,
       clock: ProcessClock.create(this.clock),
