--- a/src/routing/request-outcome.ts
+++ b/src/routing/request-outcome.ts
@@ -40,3 +40,21 @@
 export abstract class RequestObserver {
   abstract onEnd(outcome: RequestOutcome, now: number): void;
 }
+
+/** Tells several observers of the same ends. */
+export class ObserverGroup extends RequestObserver {
+  private constructor(private readonly observers: readonly RequestObserver[]) {
+    super();
+  }
+
+  /** The observers as one; undefined if there is none. */
+  static create(
+    observers: readonly RequestObserver[],
+  ): RequestObserver | undefined {
+    return observers.length === 0 ? undefined : new ObserverGroup(observers);
+  }
+
+  onEnd(outcome: RequestOutcome, now: number): void {
+    this.observers.forEach(observer => observer.onEnd(outcome, now));
+  }
+}
