--- a/src/adapters/datagram-fleet.spec.ts
+++ b/src/adapters/datagram-fleet.spec.ts
@@ -27,6 +27,7 @@
   reachAsks: [],
   reachVotes: [],
   reachNews: [],
+  unreadableDigest: 0,
 };
 
 function createFleet(address: number) {
@@ -72,6 +73,7 @@
         ageMs: serverDigest,
         routes: [],
         coldServices: [],
+        services: [],
       },
       servers: undefined,
       other: asker,
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -75,21 +75,27 @@
 }
 
 function applyServers(catalog: Catalog, list: ServerList, now: number): void {
-  const {removed, whole} = list;
+  const {removed, revision, evacuated, whole} = list;
   const confirmedAt = now - list.ageMs;
   const servers = list.servers.map(entry => decodeServer(entry, now));
+  const unreadable = list.unreadable.map(mark => ({...mark, cause: ''}));
   if (whole) {
-    catalog.takeServers({...list, servers}, confirmedAt);
+    const listing = {revision, servers, unreadable, evacuated};
+    catalog.takeServers(listing, confirmedAt);
   } else {
-    const changes = {written: servers, removed};
-    catalog.takeServerChanges(changes, list, confirmedAt);
+    const changes = {written: servers, unreadable, removed};
+    const asOf = {revision, evacuated};
+    catalog.takeServerChanges(changes, asOf, confirmedAt);
   }
 }
 
 function applyRoutes(catalog: Catalog, list: RouteList, now: number): void {
   const {version, coldServices} = list;
   const routes = list.routes.map(decodeRoute);
-  catalog.takeRoutes({version, routes, coldServices}, now - list.ageMs);
+  // A configuration names some service, so none means that they were not told.
+  const services = list.services.length === 0 ? undefined : list.services;
+  const listing = {version, routes, coldServices, services};
+  catalog.takeRoutes(listing, now - list.ageMs);
 }
 
 function encodeRoutes(catalog: Catalog, now: number): RouteList {
@@ -99,6 +105,7 @@
     ageMs: ageOf(routesConfirmedAt, now),
     routes: catalog.allRoutes().map(encodeRoute),
     coldServices: [...catalog.coldServices()],
+    services: [...(catalog.serviceNames() ?? [])],
   };
 }
 
@@ -143,6 +150,7 @@
   const {serverRevision, serversConfirmedAt} = catalog.stamp;
   const changes = since === 0 ? undefined : catalog.serverChangesSince(since);
   const servers = changes?.written ?? catalog.allServers();
+  const unreadable = changes?.unreadable ?? catalog.unreadableEntries();
   return {
     revision: serverRevision,
     ageMs: ageOf(serversConfirmedAt, now),
@@ -150,13 +158,14 @@
     whole: changes === undefined,
     removed: [...(changes?.removed ?? [])],
     evacuated: catalog.evacuatedDomains(),
+    unreadable: unreadable.map(({id, revision: at}) => ({id, revision: at})),
   };
 }
 
 /** The state is sent as a flag and the deadline as the time that is left. */
 function encodeServer(server: CatalogServer, now: number): ServerEntry {
   const {id, service, address, port, failureDomain, slots} = server;
-  const {createdRevision, revision} = server;
+  const {createdRevision, revision, startTime} = server;
   return {
     id,
     service,
@@ -168,6 +177,7 @@
     coldMs: spanBetween(now, server.coldUntil),
     createdRevision,
     revision,
+    startTime,
   };
 }
 
@@ -177,7 +187,7 @@
  */
 function decodeServer(entry: ServerEntry, now: number): CatalogServer {
   const {id, service, address, port, failureDomain, slots} = entry;
-  const {createdRevision, revision} = entry;
+  const {createdRevision, revision, startTime} = entry;
   return {
     id,
     service,
@@ -189,5 +199,6 @@
     coldUntil: now + entry.coldMs,
     createdRevision,
     revision,
+    startTime,
   };
 }
--- a/src/catalog/catalog.spec.ts
+++ b/src/catalog/catalog.spec.ts
@@ -36,6 +36,7 @@
     coldUntil: 0,
     createdRevision: revision,
     revision,
+    startTime: 0,
     ...part,
   };
 }
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -5,19 +5,23 @@
 import type {CatalogReading} from '../ports/catalog-source.js';
 import type {Hasher} from '../ports/hasher.js';
 import {destinationKey} from '../routing/flow-key.js';
-import {CookieIndex} from './cookie-index.js';
-import {Departures} from './departures.js';
 import {
-  type CatalogEvents,
-  type CatalogServer,
-  type CatalogStamp,
-  type ColdService,
-  type DomainChange,
-  type RouteListing,
-  type ServerListing,
+  KnownServers,
+  type ListingChange,
+  type ServerNews,
+} from './known-servers.js';
+import type {
+  CatalogEvents,
+  CatalogServer,
+  CatalogStamp,
+  ColdService,
+  DomainChange,
+  RouteListing,
+  ServerListing,
+  UnreadableEntry,
 } from './records.js';
 import {RouteTable, type KnownRoute} from './route-table.js';
-import {ServerTable, type ServerChanges} from './server-table.js';
+import type {ServerChanges} from './server-table.js';
 
 /**
  * Time for which the servers of a restored domain count as cold whatever they say, in
@@ -27,25 +31,27 @@
 const UNSETTLED_MS = 1_000;
 
 /** What changed in the catalog. */
-export interface CatalogChange {
+export interface CatalogChange extends ServerNews {
   /** The version taken; undefined when the routes did not change. */
   readonly routeVersion?: number;
   /** Whether these are the first servers that were ever taken. */
   readonly isFirstListing: boolean;
-  /** Servers that are new or whose state changed. */
-  readonly changed: readonly CatalogServer[];
-  /** Servers that left the list. */
-  readonly departed: readonly CatalogServer[];
+  /** Servers whose end is certain from now on; they may have departed long ago. */
+  readonly ended: readonly CatalogServer[];
   /** Failure domains that were evacuated or restored. */
   readonly domains: readonly DomainChange[];
 }
 
-/** What leads the servers and the evacuated domains to a revision. */
-interface ListingChange extends ServerChanges {
-  readonly revision: number;
-  /** Changes of domains, the newest of each last. */
-  readonly domains: readonly DomainChange[];
-}
+/** A change that alters nothing. */
+const NO_CHANGE: CatalogChange = {
+  isFirstListing: false,
+  changed: [],
+  restarted: [],
+  unreadable: [],
+  departed: [],
+  ended: [],
+  domains: [],
+};
 
 /** What another daemon told of the servers that it holds. */
 export interface ToldServers {
@@ -66,9 +72,7 @@
 
 /** Routes and backend servers as one daemon knows them. */
 export class Catalog {
-  private readonly servers: ServerTable;
-  private readonly departures: Departures;
-  private readonly cookies: CookieIndex;
+  private readonly servers: KnownServers;
   private readonly routes: RouteTable;
   /** Masks of the cookies of routes that saw packets, by `destinationKey`. */
   private readonly cookieMasks = new Map<number, number>();
@@ -82,10 +86,11 @@
   private serversConfirmedAt = -Infinity;
 
   private constructor(options: CatalogOptions) {
-    this.servers = ServerTable.create(options.hasher);
-    this.departures = Departures.create(options.flowLifetimeMs);
-    this.cookies = CookieIndex.create(options.hasher);
     this.routes = RouteTable.create(options.flowLifetimeMs);
+    this.servers = KnownServers.create({
+      ...options,
+      isNamed: service => this.routes.names(service),
+    });
   }
 
   /** Creates an empty catalog. */
@@ -138,38 +143,51 @@
     );
   }
 
+  /** All services that versions known here named; undefined: one did not tell. */
+  serviceNames(): readonly string[] | undefined {
+    return this.routes.serviceNames;
+  }
+
   /** All servers in the list. */
   allServers(): CatalogServer[] {
-    return this.servers.all();
+    return this.servers.listed();
+  }
+
+  /** Entries of the list that cannot be read. */
+  unreadableEntries(): UnreadableEntry[] {
+    return this.servers.unreadableEntries();
+  }
+
+  /** Whether the list has such entries of ids that nothing else is known of. */
+  get lacksRecords(): boolean {
+    return this.servers.lacksRecords;
+  }
+
+  /** Hash over the records of servers whose entries cannot be read; 0: none. */
+  get unreadableDigest(): number {
+    return this.servers.unreadableDigest;
   }
 
   /** Servers of a service that are in the list, or left it not long ago. */
   countServers(service: string): number {
-    return [...this.allServers(), ...this.departures.all()].filter(
+    return [...this.allServers(), ...this.servers.departed()].filter(
       server => server.service === service,
     ).length;
   }
 
   /** Whether a server is in the list. */
   isListed(id: string): boolean {
-    return this.servers.get(id) !== undefined;
+    return this.servers.isListed(id);
   }
 
   /** A server in the list, or one that left it not long ago. */
   serverById(id: string): CatalogServer | undefined {
-    return this.servers.get(id) ?? this.departures.serverById(id);
+    return this.servers.serverById(id);
   }
 
   /** Servers of a service that take new flows, lapsed ones that may live included. */
   openServers(service: string): readonly CatalogServer[] {
-    const listed = this.servers.openServers(service);
-    const lapsed = this.departures
-      .lapsed()
-      .filter(
-        server =>
-          server.service === service && !this.servers.isEvacuated(server),
-      );
-    return lapsed.length === 0 ? listed : [...listed, ...lapsed];
+    return this.servers.openServers(service);
   }
 
   /** Failure domains whose servers take no new flows. */
@@ -185,7 +203,7 @@
 
   /** The cookie that names a server at a route, or undefined if there is none. */
   cookieOf(server: CatalogServer, route: KnownRoute): number | undefined {
-    return this.cookies.cookieOf(server, this.maskOf(route));
+    return this.servers.cookieOf(server, this.maskOf(route));
   }
 
   /**
@@ -199,28 +217,28 @@
    * were 0.977 of all without it and 0.987 with it.
    */
   serverOf(cookie: number, route: KnownRoute): CatalogServer | undefined {
-    const named = this.cookies.find(cookie, this.maskOf(route));
-    const allowed = named.find(({service}) =>
-      route.allowedServices.has(service),
+    const named = this.servers.find(cookie, this.maskOf(route));
+    const allowed = named.find(
+      ({server}) =>
+        server !== undefined && route.allowedServices.has(server.service),
     );
-    return allowed ?? (this.routes.knowsVersions ? undefined : named[0]);
+    const owner = allowed ?? (this.routes.knowsVersions ? undefined : named[0]);
+    return owner?.server;
   }
 
   /** Whether a cookie names any server at a route, of whatever service. */
   hasCookie(cookie: number, route: KnownRoute): boolean {
-    return this.cookies.find(cookie, this.maskOf(route)).length > 0;
+    return this.servers.find(cookie, this.maskOf(route)).length > 0;
   }
 
   /** Whether a server that lives would surely be in the list by now. */
   get isSteady(): boolean {
-    return this.departures.isSteady;
+    return this.servers.isSteady;
   }
 
   /** Whether a server has ended for certain. */
   isGone(server: CatalogServer): boolean {
-    return (
-      this.servers.isSucceeded(server.id) || this.departures.isGone(server.id)
-    );
+    return this.servers.isGone(server.id);
   }
 
   /**
@@ -236,13 +254,8 @@
       return;
     }
     this.cookieMasks.clear();
-    this.tell({
-      routeVersion: listing.version,
-      isFirstListing: false,
-      changed: [],
-      departed: [],
-      domains: [],
-    });
+    this.servers.noteServices();
+    this.tell({...NO_CHANGE, routeVersion: listing.version});
   }
 
   /** Notes that a version, if it is held, was still the newest at a time. */
@@ -252,21 +265,20 @@
     }
   }
 
-  /** Takes a list of servers read at `confirmedAt` (monotonic milliseconds). */
+  /**
+   * Takes a list of servers read at `confirmedAt` (monotonic milliseconds). An older one
+   * tells no more than what servers were whose newest entries cannot be read.
+   */
   takeServers(listing: ServerListing, confirmedAt: number): void {
-    const {revision, servers, evacuated} = listing;
+    const {revision} = listing;
+    this.fillRecords(listing.servers);
     if (revision < this.serverRevision) {
       return;
     }
     if (this.serverRevision === 0) {
       this.servers.startAt(revision);
     }
-    const present = new Set(servers.map(({id}) => id));
-    const removed = this.allServers()
-      .filter(({id}) => !present.has(id))
-      .map(({id}) => ({id, revision}));
-    const domains = this.changesOfDomainsTo(evacuated);
-    this.apply({written: servers, removed, domains, revision}, confirmedAt);
+    this.apply(this.servers.changesTo(listing), revision, confirmedAt);
   }
 
   /**
@@ -274,10 +286,10 @@
    * confirms nothing: a daemon that starts may forward by it, and refuses nothing aloud.
    */
   takeOld(reading: CatalogReading, readAt: number): void {
-    this.takeServers(reading.servers, -Infinity);
     if (reading.routes !== undefined) {
       this.takeRoutes(reading.routes, -Infinity, readAt);
     }
+    this.takeServers(reading.servers, -Infinity);
   }
 
   /** Takes what the store reported since the revision that is held. */
@@ -287,7 +299,7 @@
     } else {
       this.takeRoutes(events.routes, confirmedAt);
     }
-    this.takeListingChange(events, confirmedAt);
+    this.takeListingChange(events, events.revision, confirmedAt);
   }
 
   /**
@@ -296,11 +308,11 @@
    */
   takeServerChanges(
     changes: ServerChanges,
-    {revision, evacuated}: Omit<ServerListing, 'servers'>,
+    {revision, evacuated}: Pick<ServerListing, 'revision' | 'evacuated'>,
     confirmedAt: number,
   ): void {
-    const domains = this.changesOfDomainsTo(evacuated);
-    this.takeListingChange({...changes, revision, domains}, confirmedAt);
+    const domains = this.servers.changesOfDomainsTo(evacuated);
+    this.takeListingChange({...changes, domains}, revision, confirmedAt);
   }
 
   /** Changes of the servers after a revision, if they are still known. */
@@ -312,6 +324,7 @@
   confirmAll(at: number): void {
     this.routes.confirm(at);
     this.noteServersConfirmed(at);
+    this.tellNews(NO_CHANGE);
   }
 
   /**
@@ -326,6 +339,7 @@
       this.serverRevision = Math.max(this.serverRevision, told.revision);
     }
     this.noteServersConfirmed(at);
+    this.tellNews(NO_CHANGE);
   }
 
   /**
@@ -333,56 +347,41 @@
    * list, so changes that lead to an earlier one are known already.
    */
   private takeListingChange(
-    {written, removed, domains, revision}: ListingChange,
+    change: ListingChange,
+    revision: number,
     confirmedAt: number,
   ): void {
-    const change = {
-      written: written.filter(server =>
-        isLater(server, this.servers.get(server.id)),
-      ),
-      removed: removed.filter(entry =>
-        isLater(entry, this.servers.get(entry.id)),
-      ),
-      domains: revision < this.serverRevision ? [] : domains,
-      revision: Math.max(revision, this.serverRevision),
-    };
-    this.apply(change, confirmedAt);
-  }
-
-  /** What leads the evacuated domains to a list of all of them. */
-  private changesOfDomainsTo(evacuated: readonly string[]): DomainChange[] {
-    const listed = new Set(evacuated);
-    const restored = this.evacuatedDomains().filter(name => !listed.has(name));
-    return [
-      ...evacuated.map(name => ({failureDomain: name, isEvacuated: true})),
-      ...restored.map(name => ({failureDomain: name, isEvacuated: false})),
-    ];
+    const isNewest = revision >= this.serverRevision;
+    const domains = isNewest ? change.domains : [];
+    const newest = Math.max(revision, this.serverRevision);
+    this.apply({...change, domains}, newest, confirmedAt);
   }
 
-  /** Departed servers that no flow can name any more lose their cookies. */
   private noteServersConfirmed(at: number): void {
     this.serversConfirmedAt = Math.max(this.serversConfirmedAt, at);
-    const forgotten = this.departures.confirm(at);
-    forgotten.forEach(id => this.cookies.remove(id));
+    this.servers.confirm(at);
   }
 
-  /** Brings the servers to a revision; an id may be written and then removed. */
-  private apply(change: ListingChange, confirmedAt: number): void {
-    const {written, removed, revision} = change;
+  /** Brings the servers and the domains to a revision. */
+  private apply(
+    change: ListingChange,
+    revision: number,
+    confirmedAt: number,
+  ): void {
     const isFirstListing = this.serverRevision === 0;
     this.serverRevision = revision;
-    const changed = written.filter(server => this.servers.isNews(server));
     this.noteServersConfirmed(confirmedAt);
-    written.forEach(server => this.putServer(server));
-    const departed = removed.flatMap(({id, revision: at}) =>
-      this.depart(id, at, confirmedAt),
-    );
+    const news = this.servers.take(change, confirmedAt);
     const domains = change.domains.filter(domain =>
       this.changeDomain(domain, confirmedAt),
     );
-    if (changed.length + departed.length + domains.length > 0) {
-      this.tell({isFirstListing, changed, departed, domains});
-    }
+    this.tellNews({...NO_CHANGE, ...news, isFirstListing, domains});
+  }
+
+  /** Takes records of servers whose entries cannot be read, where they are lacking. */
+  private fillRecords(servers: readonly CatalogServer[]): void {
+    const restarted = this.servers.takeRecords(servers);
+    this.tellNews({...NO_CHANGE, restarted});
   }
 
   private changeDomain(domain: DomainChange, at: number): boolean {
@@ -393,34 +392,6 @@
     return this.servers.changeDomain(domain);
   }
 
-  /** Removes a listed server, unless its record is newer than the removal. */
-  private depart(
-    id: string,
-    revision: number,
-    confirmedAt: number,
-  ): CatalogServer[] {
-    const server = this.servers.get(id);
-    if (server === undefined || server.revision > revision) {
-      return [];
-    }
-    const wasSucceeded = this.servers.isSucceeded(id);
-    this.servers.remove(server, revision);
-    this.departures.add(server, confirmedAt);
-    if (wasSucceeded) {
-      this.departures.supersede(server.address, server.port);
-    }
-    return [server];
-  }
-
-  private putServer(server: CatalogServer): void {
-    if (this.servers.get(server.id) === undefined) {
-      this.departures.remove(server.id);
-      this.departures.supersede(server.address, server.port);
-      this.cookies.add(server);
-    }
-    this.servers.put(server);
-  }
-
   /** Worked out at a route's first packet: most routes see none for a while. */
   private maskOf({address, port}: KnownRoute): number {
     const key = destinationKey(address, port);
@@ -428,19 +399,22 @@
     if (known !== undefined) {
       return known;
     }
-    const mask = this.cookies.maskOf(key);
+    const mask = this.servers.maskOf(key);
     this.cookieMasks.set(key, mask);
     return mask;
   }
 
+  /** Tells of a change, and of servers that have ended since, if there is any. */
+  private tellNews(change: CatalogChange): void {
+    const ended = this.servers.takeEnded();
+    const {changed, restarted, unreadable, departed, domains} = change;
+    const parts = [changed, restarted, unreadable, departed, domains, ended];
+    if (parts.some(part => part.length > 0)) {
+      this.tell({...change, ended});
+    }
+  }
+
   private tell(change: CatalogChange): void {
     this.listeners.forEach(listener => listener(change));
   }
 }
-
-function isLater(
-  next: {readonly revision: number},
-  known: CatalogServer | undefined,
-): boolean {
-  return known === undefined || next.revision > known.revision;
-}
--- a/src/catalog/cookie-index.spec.ts
+++ b/src/catalog/cookie-index.spec.ts
@@ -29,6 +29,7 @@
     coldUntil: 0,
     createdRevision: created,
     revision: created,
+    startTime: 0,
   };
 }
 
@@ -44,7 +45,7 @@
       const index = CookieIndex.create(new NarrowHasher());
       const start = turn % Math.max(1, servers.length);
       [...servers.slice(start), ...servers.slice(0, start)].forEach(server =>
-        index.add(server),
+        index.put(server),
       );
       servers.forEach(server => {
         const cookie = index.cookieOf(server, mask);
@@ -67,7 +68,7 @@
   const servers = Array.from({length: 200}, (_server, number) =>
     serverOf(`i-${number}`, 'a', number),
   );
-  servers.forEach(server => index.add(server));
+  servers.forEach(server => index.put(server));
   const [here, there] = [1, 2].map(key => index.maskOf(key));
   servers.forEach(server => {
     const cookie = index.cookieOf(server, here) ?? 0;
@@ -80,8 +81,8 @@
   const index = CookieIndex.create(new NarrowHasher());
   const first = serverOf('xx', 'a', 1);
   const second = serverOf('yy', 'a', 2);
-  index.add(second);
-  index.add(first);
+  index.put(second);
+  index.put(first);
   assert.equal(index.cookieOf(first, 0), 2);
   assert.equal(index.cookieOf(second, 0), undefined);
   index.remove(first.id);
--- a/src/catalog/cookie-index.ts
+++ b/src/catalog/cookie-index.ts
@@ -17,9 +17,20 @@
 /** Stands for "no server" in a packet, so no server is named by it. */
 export const NO_COOKIE = 0;
 
-/** The cookies of the servers that one daemon knows, departed ones included. */
+/** Whom a cookie names. */
+export interface CookieOwner {
+  readonly id: string;
+  readonly createdRevision: number;
+  /** Where flows with the cookie go; undefined while no entry of the id was readable. */
+  readonly server: CatalogServer | undefined;
+}
+
+/**
+ * The cookies of the servers that one daemon knows, departed ones included, and where
+ * the flows of each go.
+ */
 export class CookieIndex {
-  private readonly byHash = new Map<number, CatalogServer[]>();
+  private readonly byHash = new Map<number, CookieOwner[]>();
   private readonly hashes = new Map<string, number>();
 
   private constructor(private readonly hasher: Hasher) {}
@@ -34,16 +45,22 @@
     return this.hasher.hashText(String(destination), DESTINATION_SEED);
   }
 
-  /** Adds a server; a known id changes nothing. */
-  add(server: CatalogServer): void {
-    if (this.hashes.has(server.id)) {
-      return;
+  /** Takes a server's record; that of a known id keeps its place among others. */
+  put(server: CatalogServer): void {
+    const {id} = server;
+    const known = this.ownerOf(id);
+    const createdRevision =
+      known?.server === undefined
+        ? server.createdRevision
+        : known.createdRevision;
+    this.place({id, createdRevision, server});
+  }
+
+  /** Takes an id of which no record is known; a known one changes nothing. */
+  addUnnamed(id: string): void {
+    if (!this.hashes.has(id)) {
+      this.place({id, createdRevision: Infinity, server: undefined});
     }
-    const hash = this.hasher.hashText(server.id, SERVER_SEED);
-    this.hashes.set(server.id, hash);
-    const named = [...(this.byHash.get(hash) ?? []), server];
-    named.sort((a, b) => a.createdRevision - b.createdRevision);
-    this.byHash.set(hash, named);
   }
 
   /** Drops a server. */
@@ -54,6 +71,11 @@
     }
   }
 
+  /** The record of a server by which its flows go. */
+  serverOf(id: string): CatalogServer | undefined {
+    return this.ownerOf(id)?.server;
+  }
+
   /**
    * The cookie of a server at destinations with a mask; undefined while an earlier
    * server has it, or when it would be the one that stands for none.
@@ -68,13 +90,30 @@
   }
 
   /** The servers of a cookie at destinations with a mask, the first one first. */
-  find(cookie: number, mask: number): readonly CatalogServer[] {
+  find(cookie: number, mask: number): readonly CookieOwner[] {
     return this.byHash.get(combine(cookie, mask)) ?? [];
   }
 
+  private ownerOf(id: string): CookieOwner | undefined {
+    const hash = this.hashes.get(id);
+    return hash === undefined
+      ? undefined
+      : this.byHash.get(hash)?.find(owner => owner.id === id);
+  }
+
+  private place(owner: CookieOwner): void {
+    const {id} = owner;
+    const hash = this.hashes.get(id) ?? this.hasher.hashText(id, SERVER_SEED);
+    this.hashes.set(id, hash);
+    const others = this.byHash.get(hash)?.filter(other => other.id !== id);
+    const named = [...(others ?? []), owner];
+    named.sort((a, b) => a.createdRevision - b.createdRevision);
+    this.byHash.set(hash, named);
+  }
+
   private drop(id: string, hash: number): void {
     this.hashes.delete(id);
-    const left = this.byHash.get(hash)?.filter(server => server.id !== id);
+    const left = this.byHash.get(hash)?.filter(owner => owner.id !== id);
     if (left === undefined || left.length === 0) {
       this.byHash.delete(hash);
     } else {
--- a/src/catalog/copy-exchange.ts
+++ b/src/catalog/copy-exchange.ts
@@ -19,6 +19,8 @@
 const MAXIMUM_HOPS = 6;
 /** Longest wait until a daemon that was named has its copy, in milliseconds. */
 const LONGEST_WAIT_MS = 300;
+/** Time between two pulls of records of servers with unreadable entries, in milliseconds. */
+const RECORDS_GAP_MS = 1_000;
 
 /** What an exchange is made from. */
 export interface CopyExchangeOptions {
@@ -40,6 +42,10 @@
   private readonly giver: CopyGiver;
   /** Addresses of the peers that are being asked. */
   private readonly pulls = new Set<number>();
+  /** When records may be asked for again; monotonic milliseconds. */
+  private recordsDueAt = -Infinity;
+  /** What daemons told of their records from whom nothing was gained. */
+  private readonly fruitless = new Set<number>();
 
   private constructor(private readonly options: CopyExchangeOptions) {
     this.giver = CopyGiver.create(options.linkMbps);
@@ -97,6 +103,41 @@
     });
   }
 
+  /**
+   * Pulls records of servers whose entries cannot be read from a daemon that holds the
+   * same entries, and other records.
+   */
+  async pullRecords(sender: number, beat: Beat): Promise<void> {
+    const {catalog, clock} = this.options;
+    const told = beat.unreadableDigest;
+    const isOther =
+      told !== 0 &&
+      told !== catalog.unreadableDigest &&
+      beat.serverDigest === catalog.stamp.serverDigest;
+    if (!isOther || this.fruitless.has(told)) {
+      return;
+    }
+    const now = clock.now();
+    if (now >= this.recordsDueAt) {
+      this.recordsDueAt = now + RECORDS_GAP_MS;
+      await this.whilePulling(sender, () => this.pullForRecords(sender, told));
+    }
+  }
+
+  /** Asks for everything, as a daemon does that holds nothing. */
+  private async pullForRecords(sender: number, told: number): Promise<void> {
+    const {catalog, clock} = this.options;
+    const before = catalog.unreadableDigest;
+    const held = {...this.held(true), serverDigest: 0};
+    const deadline = clock.now() + PULL_LIMIT_MS;
+    const update = await this.options.channel.pull(sender, held, deadline);
+    update.map(copy => this.take(copy));
+    if (update.isOk() && catalog.unreadableDigest === before) {
+      this.fruitless.clear();
+      this.fruitless.add(told);
+    }
+  }
+
   /** Pulls a first copy from a daemon that is said to have one. */
   async pullFirst(giver: number): Promise<void> {
     await this.whilePulling(giver, async () => {
--- a/src/catalog/departures.spec.ts
+++ b/src/catalog/departures.spec.ts
@@ -14,6 +14,7 @@
   coldUntil: 0,
   createdRevision: 1,
   revision: 1,
+  startTime: 0,
 };
 
 /** Confirms the list every 500 ms from `from` to `to`. */
--- a/src/catalog/departures.ts
+++ b/src/catalog/departures.ts
@@ -43,6 +43,13 @@
 /** The departed servers of one daemon. */
 export class Departures {
   private readonly departures = new Map<string, Departure>();
+  /**
+   * Ids of entries that went and were never readable here, and when they may be
+   * forgotten; monotonic milliseconds.
+   */
+  private readonly unnamed = new Map<string, number>();
+  /** Servers whose end became certain and that were not asked for yet. */
+  private newlyGone: CatalogServer[] = [];
   /** What `lapsed` answers; undefined once a departure may have changed. */
   private lapsedNow: readonly CatalogServer[] | undefined;
   private confirmedAt = -Infinity;
@@ -76,7 +83,9 @@
     this.confirmedAt = at;
     this.lapsedNow = undefined;
     this.departures.forEach(departure => {
-      departure.gone ||= at - departure.missingSince >= departure.graceMs;
+      if (at - departure.missingSince >= departure.graceMs) {
+        this.end(departure);
+      }
     });
     return this.forgetOld(at);
   }
@@ -105,10 +114,16 @@
     });
   }
 
+  /** Records that the entry of a server went of which no record is known. */
+  addUnnamed(id: string, at: number): void {
+    this.unnamed.set(id, at + this.flowLifetimeMs);
+  }
+
   /** Takes a server back that is in the list again. */
   remove(id: string): void {
     this.lapsedNow = undefined;
     this.departures.delete(id);
+    this.unnamed.delete(id);
   }
 
   /** Marks servers whose address a later server has taken: they have ended. */
@@ -116,10 +131,19 @@
     this.lapsedNow = undefined;
     this.departures.forEach(departure => {
       const {server} = departure;
-      departure.gone ||= server.address === address && server.port === port;
+      if (server.address === address && server.port === port) {
+        this.end(departure);
+      }
     });
   }
 
+  /** Servers whose end became certain since this was asked last. */
+  takeGone(): CatalogServer[] {
+    const gone = this.newlyGone;
+    this.newlyGone = [];
+    return gone;
+  }
+
   /** All departed servers that are not forgotten yet. */
   all(): CatalogServer[] {
     return [...this.departures.values()].map(({server}) => server);
@@ -143,12 +167,28 @@
     return this.lapsedNow;
   }
 
+  private end(departure: Departure): void {
+    if (!departure.gone) {
+      departure.gone = true;
+      this.newlyGone.push(departure.server);
+    }
+  }
+
   /** Forgets servers that no flow can name any more; returns their ids. */
   private forgetOld(at: number): string[] {
-    const old = [...this.departures]
-      .filter(([, {forgetAt}]) => forgetAt <= at)
+    const forgetTimes = [
+      ...[...this.departures].map(
+        ([id, {forgetAt}]) => [id, forgetAt] as const,
+      ),
+      ...this.unnamed,
+    ];
+    const old = forgetTimes
+      .filter(([, forgetAt]) => forgetAt <= at)
       .map(([id]) => id);
-    old.forEach(id => this.departures.delete(id));
+    old.forEach(id => {
+      this.departures.delete(id);
+      this.unnamed.delete(id);
+    });
     return old;
   }
 }
--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -308,10 +308,10 @@
 
   private takeAll(reading: CatalogReading, sentAt: number): undefined {
     const {catalog} = this.options;
-    catalog.takeServers(reading.servers, sentAt);
     if (reading.routes !== undefined) {
       catalog.takeRoutes(reading.routes, sentAt);
     }
+    catalog.takeServers(reading.servers, sentAt);
     this.needsWhole = false;
   }
 
@@ -322,10 +322,10 @@
    */
   private takeEvents(events: CatalogEvents, sentAt: number): undefined {
     const {catalog, clock} = this.options;
-    const {routes, written, removed, domains} = events;
+    const {routes, written, unreadable = [], removed, domains} = events;
     const isEmpty =
       routes === undefined &&
-      written.length + removed.length + domains.length === 0;
+      [written, unreadable, removed, domains].every(({length}) => length === 0);
     if (isEmpty) {
       catalog.confirmAll(sentAt);
     } else {
--- a/src/catalog/records.ts
+++ b/src/catalog/records.ts
@@ -5,7 +5,10 @@
 /** One of the states in `ServerState`. */
 export type ServerState = (typeof ServerState)[keyof typeof ServerState];
 
-/** One run of a backend server. A restarted server has another id. */
+/**
+ * One life of a backend server, by its newest entry that can be read. A server may start
+ * again under its id; it then holds nothing of before, and says another time of start.
+ */
 export interface CatalogServer {
   readonly id: string;
   readonly service: string;
@@ -22,6 +25,19 @@
   readonly createdRevision: number;
   /** Revision of the store at which its entry last changed. */
   readonly revision: number;
+  /**
+   * Unix milliseconds of its start by its own clock, which tell its lives apart and say
+   * nothing of their order; 0: not said.
+   */
+  readonly startTime: number;
+}
+
+/** An entry that cannot be read: it names no server to use, and nobody as gone. */
+export interface UnreadableEntry {
+  readonly id: string;
+  readonly revision: number;
+  /** Why it cannot be read; empty where another daemon told of it. */
+  readonly cause: string;
 }
 
 /**
@@ -31,6 +47,8 @@
 export interface ServerListing {
   readonly revision: number;
   readonly servers: readonly CatalogServer[];
+  /** Entries that cannot be read; undefined: none. */
+  readonly unreadable?: readonly UnreadableEntry[];
   readonly evacuated: readonly string[];
 }
 
@@ -77,6 +95,8 @@
   readonly routes: RouteListing | undefined;
   /** Servers whose entries were written, the newest write of each last. */
   readonly written: readonly CatalogServer[];
+  /** Entries that were written and cannot be read; undefined: none. */
+  readonly unreadable?: readonly UnreadableEntry[];
   readonly removed: readonly RemovedServer[];
   /** Domains that were evacuated or restored, the newest change of each last. */
   readonly domains: readonly DomainChange[];
@@ -95,6 +115,8 @@
   readonly routes: readonly CatalogRoute[];
   /** Services that state a rate for cold servers. */
   readonly coldServices: readonly ColdService[];
+  /** All services that there are; undefined: not said, so any name may be one. */
+  readonly services?: readonly string[];
 }
 
 /** What tells two states of the catalog apart. */
--- a/src/catalog/route-table.ts
+++ b/src/catalog/route-table.ts
@@ -17,6 +17,8 @@
   /** Services that any version gave to a destination, by `destinationKey`. */
   private readonly allowed = new Map<number, Set<string>>();
   private cold: readonly ColdService[] = [];
+  /** What `serviceNames` answers. */
+  private services: Set<string> | undefined = new Set();
   private newestVersion = 0;
   private lastConfirmedAt = -Infinity;
   /** When a version was last taken; monotonic milliseconds. */
@@ -65,6 +67,19 @@
     return this.cold;
   }
 
+  /** All services that versions known here named; undefined: one did not tell. */
+  get serviceNames(): readonly string[] | undefined {
+    return this.services && [...this.services];
+  }
+
+  /**
+   * Whether a version known here names a service. What is of another may be anybody's;
+   * while no version tells all services, nothing is.
+   */
+  names(service: string): boolean {
+    return this.newestVersion === 0 || this.services?.has(service) !== false;
+  }
+
   /**
    * Takes a version that a read at `confirmedAt` (monotonic milliseconds) showed to be
    * the newest, or that was the newest some time before `changedAt`; true if it is newer
@@ -87,6 +102,7 @@
     this.cold = listing.coldServices;
     this.routes.clear();
     listing.routes.forEach(route => this.put(route));
+    this.noteServices(listing);
     return true;
   }
 
@@ -95,6 +111,16 @@
     this.lastConfirmedAt = Math.max(this.lastConfirmedAt, at);
   }
 
+  private noteServices({services, routes}: RouteListing): void {
+    const shared = routes.flatMap(({shares}) =>
+      shares.map(({service}) => service),
+    );
+    this.services =
+      services === undefined || this.services === undefined
+        ? undefined
+        : new Set([...this.services, ...services, ...shared]);
+  }
+
   private put(route: CatalogRoute): void {
     const key = destinationKey(route.address, route.port);
     const services = route.shares.map(({service}) => service);
--- a/src/catalog/server-table.ts
+++ b/src/catalog/server-table.ts
@@ -4,12 +4,13 @@
  * a revision. Each change costs the same however many servers there are.
  */
 import type {Hasher} from '../ports/hasher.js';
-import {destinationKey} from '../routing/flow-key.js';
+import {AddressOwners} from './address-owners.js';
 import {
   ServerState,
   type CatalogServer,
   type DomainChange,
   type RemovedServer,
+  type UnreadableEntry,
 } from './records.js';
 
 /** Sets the digest's hashes apart from those of other uses. */
@@ -20,20 +21,26 @@
 /** Servers that changed since a revision. */
 export interface ServerChanges {
   readonly written: readonly CatalogServer[];
+  /** Entries that cannot be read; undefined: none. */
+  readonly unreadable?: readonly UnreadableEntry[];
   readonly removed: readonly RemovedServer[];
 }
 
-/** The listed servers. */
+/**
+ * The listed servers. Of each id the newest entry that can be read, the newest that
+ * cannot, and the newest removal are held, each by its revision; so the order in which
+ * they come does not matter.
+ */
 export class ServerTable {
   private readonly servers = new Map<string, CatalogServer>();
-  /** The server that came last to each address. */
-  private readonly newestAt = new Map<number, CatalogServer>();
-  /** Servers whose address a later server has taken: they have ended. */
-  private readonly succeeded = new Set<string>();
+  /** Newest entries that cannot be read, where none that can be came later. */
+  private readonly unreadable = new Map<string, UnreadableEntry>();
+  private readonly addresses = AddressOwners.create();
   /** Listed servers that take new flows, for the services that were asked for. */
   private readonly open = new Map<string, readonly CatalogServer[]>();
   private readonly evacuated = new Set<string>();
-  private removals: RemovedServer[] = [];
+  /** Revisions at which entries went, by id, the newest last. */
+  private readonly removals = new Map<string, number>();
   /** All removals after this revision are remembered. */
   private removalsSince = 0;
   /**
@@ -54,50 +61,105 @@
     return this.combinedHash;
   }
 
-  /** All listed servers. */
+  /** All listed servers of which an entry was read, in the order of their coming. */
   all(): CatalogServer[] {
     return [...this.servers.values()];
   }
 
-  /** A listed server. */
+  /** Ids of all entries, whether they can be read or not. */
+  ids(): string[] {
+    return [...new Set([...this.servers.keys(), ...this.unreadable.keys()])];
+  }
+
+  /** A listed server, by its newest entry that can be read. */
   get(id: string): CatalogServer | undefined {
     return this.servers.get(id);
   }
 
+  /** Newest entries that cannot be read. */
+  unreadableEntries(): UnreadableEntry[] {
+    return [...this.unreadable.values()];
+  }
+
+  /** Whether the newest entry of an id cannot be read. */
+  isUnreadable(id: string): boolean {
+    return this.unreadable.has(id);
+  }
+
   /** Whether a later server has the address of a listed one. */
   isSucceeded(id: string): boolean {
-    return this.succeeded.has(id);
+    return this.addresses.isSucceeded(id);
+  }
+
+  /** Servers that were succeeded since this was asked last. */
+  takeSucceeded(): CatalogServer[] {
+    return this.addresses
+      .takeSucceeded()
+      .flatMap(id => this.servers.get(id) ?? []);
   }
 
-  /** Whether a record is of a server that is new or in another state than held. */
+  /** Whether a record is of a server that is new, in another state or another life. */
   isNews(server: CatalogServer): boolean {
     const known = this.servers.get(server.id);
-    return known === undefined || known.state !== server.state;
+    return (
+      known === undefined ||
+      known.state !== server.state ||
+      known.startTime !== server.startTime ||
+      this.isUnreadable(server.id)
+    );
   }
 
-  /** Takes a server's newest record. */
-  put(server: CatalogServer): void {
+  /** Whether an entry that can be read is later than what is held of its id. */
+  isLater({id, revision}: CatalogServer): boolean {
+    const known = this.servers.get(id)?.revision ?? -Infinity;
+    return revision > Math.max(known, this.removalOf(id));
+  }
+
+  /** Whether an entry that cannot be read is later than what is held of its id. */
+  isLaterMark({id, revision}: UnreadableEntry): boolean {
+    return revision > Math.max(this.revisionOf(id), this.removalOf(id));
+  }
+
+  /**
+   * Takes a later entry of a server. One that may be anybody's (`isNamed` is false: no
+   * version names its service) has ended nobody at its address.
+   */
+  put(server: CatalogServer, isNamed: boolean): void {
     const known = this.servers.get(server.id);
-    if (known !== undefined) {
-      this.toggleInDigest(known);
-    }
-    this.toggleInDigest(server);
-    this.servers.set(server.id, server);
-    this.open.delete(server.service);
-    this.noteAddress(server);
-  }
-
-  /** Removes a server that the list of a revision does not hold. */
-  remove(server: CatalogServer, revision: number): void {
-    this.servers.delete(server.id);
-    this.succeeded.delete(server.id);
-    this.toggleInDigest(server);
-    this.open.delete(server.service);
-    const key = destinationKey(server.address, server.port);
-    if (this.newestAt.get(key)?.id === server.id) {
-      this.newestAt.delete(key);
+    const mark = this.unreadable.get(server.id);
+    this.change(server.id, () => {
+      this.servers.set(server.id, server);
+      if (mark !== undefined && mark.revision < server.revision) {
+        this.unreadable.delete(server.id);
+      }
+    });
+    this.noteAddress(server, known, isNamed);
+    [server, known].forEach(each => this.open.delete(each?.service ?? ''));
+  }
+
+  /** Takes a later entry that cannot be read: the server is held as it was. */
+  mark(entry: UnreadableEntry): void {
+    this.change(entry.id, () => this.unreadable.set(entry.id, entry));
+    this.open.delete(this.servers.get(entry.id)?.service ?? '');
+  }
+
+  /**
+   * Removes an id that the list of a revision does not hold, unless what is held is
+   * later; false then, and if nothing is.
+   */
+  remove({id, revision}: RemovedServer): boolean {
+    if (this.revisionOf(id) > revision) {
+      return false;
     }
-    this.rememberRemoval({id: server.id, revision});
+    const isKnown = this.servers.has(id) || this.unreadable.has(id);
+    this.open.delete(this.servers.get(id)?.service ?? '');
+    this.change(id, () => {
+      this.servers.delete(id);
+      this.unreadable.delete(id);
+    });
+    this.addresses.forget(id);
+    this.rememberRemoval({id, revision});
+    return isKnown;
   }
 
   /** The failure domains whose servers take no new flows. */
@@ -140,8 +202,9 @@
       server =>
         server.service === service &&
         server.state === ServerState.READY &&
+        !this.isUnreadable(server.id) &&
         !this.isEvacuated(server) &&
-        !this.succeeded.has(server.id),
+        !this.isSucceeded(server.id),
     );
     this.open.set(service, open);
     return open;
@@ -149,51 +212,96 @@
 
   /** Changes after a revision; undefined when only the whole list tells them. */
   changesSince(revision: number): ServerChanges | undefined {
-    return revision < this.removalsSince
-      ? undefined
-      : {
-          written: this.all().filter(server => server.revision > revision),
-          removed: this.removals.filter(removal => removal.revision > revision),
-        };
-  }
-
-  /** Of two servers at one address, the one that was created earlier has ended. */
-  private noteAddress(server: CatalogServer): void {
-    const key = destinationKey(server.address, server.port);
-    const other = this.newestAt.get(key);
-    const isNewest =
-      other === undefined || other.createdRevision <= server.createdRevision;
-    if (isNewest) {
-      this.newestAt.set(key, server);
+    if (revision < this.removalsSince) {
+      return undefined;
     }
-    const ended = isNewest ? other : server;
-    if (ended !== undefined && ended.id !== this.newestAt.get(key)?.id) {
-      this.succeeded.add(ended.id);
-      this.open.delete(ended.service);
+    const isLater = (entry: RemovedServer) => entry.revision > revision;
+    return {
+      written: this.all().filter(({id}) => this.revisionOf(id) > revision),
+      unreadable: this.unreadableEntries().filter(isLater),
+      removed: [...this.removals]
+        .map(([id, at]) => ({id, revision: at}))
+        .filter(isLater),
+    };
+  }
+
+  /**
+   * Hash over the records held of servers whose entries cannot be read; 0 if there is
+   * none. Daemons with the same entries may hold other records of them.
+   */
+  get unreadableDigest(): number {
+    return (
+      [...this.unreadable.keys()].reduce((combined, id) => {
+        const server = this.servers.get(id);
+        const record = `${id}/${server?.startTime}/${server?.revision}`;
+        return server === undefined ? combined : combined ^ this.hashOf(record);
+      }, 0) >>> 0
+    );
+  }
+
+  /** Of two servers at one address, the one that came earlier has ended. */
+  private noteAddress(
+    server: CatalogServer,
+    known: CatalogServer | undefined,
+    isNamed: boolean,
+  ): void {
+    if (isNamed) {
+      const ended = this.addresses.put(server, known);
+      const service = this.servers.get(ended ?? '')?.service;
+      this.open.delete(service ?? '');
     }
   }
 
+  /** Revision of the newest entry of an id, whether it can be read or not. */
+  private revisionOf(id: string): number {
+    return Math.max(
+      this.servers.get(id)?.revision ?? -Infinity,
+      this.unreadable.get(id)?.revision ?? -Infinity,
+    );
+  }
+
+  private removalOf(id: string): number {
+    return this.removals.get(id) ?? -Infinity;
+  }
+
   /** Drops the older half of the removals when there are too many. */
-  private rememberRemoval(removal: RemovedServer): void {
-    this.removals.push(removal);
-    if (this.removals.length > MAXIMUM_REMOVALS) {
-      const [dropped] = this.removals.splice(0, MAXIMUM_REMOVALS / 2);
-      const kept = this.removals[0];
-      this.removalsSince = Math.max(
-        this.removalsSince,
-        dropped.revision,
-        kept.revision,
-      );
+  private rememberRemoval({id, revision}: RemovedServer): void {
+    const newest = Math.max(revision, this.removalOf(id));
+    this.removals.delete(id);
+    this.removals.set(id, newest);
+    if (this.removals.size > MAXIMUM_REMOVALS) {
+      const dropped = [...this.removals].slice(0, MAXIMUM_REMOVALS / 2);
+      dropped.forEach(([old]) => this.removals.delete(old));
+      const upTo = dropped.map(([, at]) => at);
+      this.removalsSince = Math.max(this.removalsSince, ...upTo);
     }
   }
 
-  /** Adds a server's record to the digest, or takes it out again. */
-  private toggleInDigest({id, state}: CatalogServer): void {
-    this.toggle(`${id}/${state}`);
+  /** Changes what is held of an id, and the digest with it. */
+  private change(id: string, change: () => void): void {
+    this.toggleInDigest(id);
+    change();
+    this.toggleInDigest(id);
+  }
+
+  /** Adds an id's entry to the digest, or takes it out again. */
+  private toggleInDigest(id: string): void {
+    const server = this.servers.get(id);
+    if (this.isUnreadable(id)) {
+      this.toggle(`${id}/unreadable`);
+    } else if (server !== undefined) {
+      const {state, startTime} = server;
+      this.toggle(
+        startTime === 0 ? `${id}/${state}` : `${id}/${state}/${startTime}`,
+      );
+    }
   }
 
   private toggle(record: string): void {
-    const hash = this.hasher.hashText(record, DIGEST_SEED);
-    this.combinedHash = (this.combinedHash ^ hash) >>> 0;
+    this.combinedHash = (this.combinedHash ^ this.hashOf(record)) >>> 0;
+  }
+
+  private hashOf(record: string): number {
+    return this.hasher.hashText(record, DIGEST_SEED);
   }
 }
--- a/src/catalog/spread.ts
+++ b/src/catalog/spread.ts
@@ -284,11 +284,13 @@
       reads: turns.told(now).map(mark => encodeMark(mark, now)),
       reachAsks: [],
       reachVotes: [],
-      reachNews: reach.told(now).map(({server, reached, at}) => ({
+      reachNews: reach.told(now).map(({server, reached, at, startTime}) => ({
         server,
         reached,
         ageMs: ageOf(at, now),
+        startTime,
       })),
+      unreadableDigest: catalog.unreadableDigest,
     };
   }
 
@@ -307,6 +309,7 @@
       this.takeReachNews(beat, now),
     );
     this.seekCopy(beat);
+    void this.copies.pullRecords(sender, beat);
     if (this.copies.isNewer(beat)) {
       void this.copies.pullNewer(sender, beat);
     } else if (gain > RELAY_GAIN_MS) {
@@ -427,8 +430,8 @@
   /** Takes findings on servers; Infinity if one of them is news. */
   private takeReachNews(beat: Beat, now: number): number {
     const {reach} = this.options;
-    const news = beat.reachNews.filter(({server, reached, ageMs}) =>
-      reach.hear({server, reached, at: now - ageMs}),
+    const news = beat.reachNews.filter(({ageMs, ...finding}) =>
+      reach.hear({...finding, at: now - ageMs}),
     );
     return news.length > 0 ? Infinity : 0;
   }
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -5,6 +5,7 @@
 import {Catalog, type CatalogChange} from '../catalog/catalog.js';
 import {ReadTurns} from '../catalog/read-turns.js';
 import {CatalogReader} from '../catalog/reader.js';
+import type {CatalogServer} from '../catalog/records.js';
 import {CatalogSpread} from '../catalog/spread.js';
 import {EqualRatings} from '../feedback/server-ratings.js';
 import type {PeerAge} from '../generated/catalog.js';
@@ -18,11 +19,12 @@
 import type {Log, LogFields} from '../ports/log.js';
 import type {ServerContact} from '../ports/server-contact.js';
 import {ServerReachability} from '../reachability/server-reachability.js';
-import {CookieRouter} from '../routing/cookie-router.js';
+import {CookieRouter, RefusalReason} from '../routing/cookie-router.js';
 import {formatIpv4} from '../routing/ipv4.js';
 import {OwnWorkPlacement, type Placement} from '../routing/placement.js';
 import type {Random} from '../routing/random.js';
 import {ServerWorkLedger} from '../routing/server-work.js';
+import {FlowEndings} from './flow-endings.js';
 import {logChange, sinceStart, versionsOf} from './log-lines.js';
 import {PacketTask} from './packet-task.js';
 import {PlannedStop} from './planned-stop.js';
@@ -56,6 +58,7 @@
   private readonly reach: ServerReachability;
   private readonly reader: CatalogReader;
   private readonly packets: PacketTask;
+  private readonly endings: FlowEndings;
   private readonly stops: Array<() => void> = [];
   private seeds: readonly number[];
   private isLeaving = false;
@@ -73,6 +76,7 @@
     this.packets = this.createPackets();
     this.turns = this.createTurns();
     this.reach = this.createReachability();
+    this.endings = this.createEndings();
     this.spread = this.createSpread();
     this.reader = this.createReader();
   }
@@ -161,6 +165,7 @@
     this.spread.announce();
     await stop.awaitQuiet();
     this.reach.stop();
+    this.endings.stop();
     this.stops.forEach(end => end());
     this.options.fabric.close();
     log.warn('stopped', {
@@ -200,6 +205,7 @@
       countDaemons: () => this.peers.countDaemons(clock.now()),
       ratings: EqualRatings.create(),
       observer: undefined,
+      keepsPackets: settings.features.feedback,
     });
   }
 
@@ -245,7 +251,24 @@
       vote: (daemon, server, result) =>
         this.spread.vote(daemon, server, result),
       announce: () => this.spread.announce(),
-      onUnreachable: server => this.packets.resetWaiting(server),
+      onUnreachable: server => this.noteUnreachable(server),
+    });
+  }
+
+  private createEndings(): FlowEndings {
+    const {settings, fabric, clock, log, counters} = this.options;
+    const {catalog, router, work} = this;
+    return FlowEndings.create({
+      isOn: settings.features.feedback,
+      catalog,
+      router,
+      work,
+      fabric,
+      clock,
+      log,
+      counters,
+      linkMbps: settings.linkMbps,
+      isUnreachable: id => this.reach.isUnreachable(id),
     });
   }
 
@@ -307,10 +330,25 @@
     this.spread.announce();
   }
 
+  private noteUnreachable(server: CatalogServer): void {
+    this.packets.resetWaiting(server);
+    this.endings.noteLost(server);
+  }
+
+  private noteEnded(server: CatalogServer): void {
+    const {feedback} = this.options.settings.features;
+    if (feedback && this.router.isCurrent()) {
+      this.packets.resetWaiting(server, RefusalReason.SERVER_GONE);
+    }
+    this.endings.noteLost(server);
+  }
+
   /** Logs a change; the work of departed servers is forgotten. */
   private noteChange(change: CatalogChange): void {
     logChange(this.options.log, change, this.versions());
-    this.reach.noteListing(change.changed, change.departed);
+    this.reach.noteListing(change);
+    change.restarted.forEach(server => this.endings.noteRestarted(server));
+    change.ended.forEach(server => this.noteEnded(server));
     if (change.departed.length > 0) {
       this.work.retain(this.catalog.allServers().map(({id}) => id));
     }
--- a/src/entry/log-lines.ts
+++ b/src/entry/log-lines.ts
@@ -51,6 +51,9 @@
       log.info('server-state', {server: id, service, state}),
     );
   }
+  change.unreadable.forEach(({id, revision, cause}) =>
+    log.info('server-entry-unreadable', {server: id, revision, cause}),
+  );
   change.departed.forEach(({id, service}) =>
     log.info('server-departed', {server: id, service}),
   );
--- a/src/entry/packet-task.ts
+++ b/src/entry/packet-task.ts
@@ -90,8 +90,11 @@
     }
   }
 
-  /** Callers that wait for a server that cannot be reached come again elsewhere. */
-  resetWaiting(server: CatalogServer): void {
+  /** Callers that wait for a server that is lost come again elsewhere. */
+  resetWaiting(
+    server: CatalogServer,
+    reason: RefusalReason = RefusalReason.SERVER_UNREACHABLE,
+  ): void {
     const {fabric, log, counters, router} = this.options;
     router.takeCutOff(server).forEach(caller => {
       fabric.reset(caller);
@@ -99,7 +102,7 @@
       log.info('flow-reset', {
         ...flowOf(caller),
         server: server.id,
-        reason: RefusalReason.SERVER_UNREACHABLE,
+        reason,
       });
     });
   }
--- a/src/ports/counters.ts
+++ b/src/ports/counters.ts
@@ -3,6 +3,8 @@
 /** Names of all counters and gauges. */
 export const Metric = {
   PACKETS_FORWARDED: 'packets.forwarded',
+  /** Packets of callers sent once more to a server that started again. */
+  PACKETS_REPEATED: 'packets.repeated',
   PACKETS_PASSED: 'packets.passed',
   PACKETS_DECIDED_FOR_PEER: 'packets.decided_for_peer',
   PACKETS_UNKNOWN_ADDRESS: 'packets.unknown_address',
@@ -11,6 +13,8 @@
   SEND_FAILURES: 'datagrams.send_failures',
   PACKETS_UNROUTABLE: 'packets.unroutable',
   FLOWS_PLACED_EXCEPTION: 'flows.placed_exception',
+  /** Flows without a request under way that were reset, their server lost. */
+  FLOWS_ENDED: 'flows.ended',
   FLOWS_TABLE_FULL: 'flows.table_full',
   FLOWS_HELD: 'flows.held',
   FLOWS_CACHED: 'flows.cached',
--- a/src/reachability/server-reachability.ts
+++ b/src/reachability/server-reachability.ts
@@ -14,6 +14,7 @@
  * connections of two daemons have to be lost besides the packet. One that is cut off is
  * found unreachable as long as it is.
  */
+import type {ServerNews} from '../catalog/known-servers.js';
 import type {CatalogServer} from '../catalog/records.js';
 import type {PeerView} from '../membership/peer-view.js';
 import type {PeerDaemon} from '../membership/peer-daemon.js';
@@ -140,12 +141,15 @@
     this.inquiries.get(id)?.vote(daemon, result);
   }
 
-  /** Takes what others found; true if it is news. */
+  /** Takes what others found; true if it is news of the life that is known. */
   hear(finding: ReachFinding): boolean {
     const now = this.options.clock.now();
+    const server = this.options.serverById(finding.server);
+    if (server !== undefined && server.startTime !== finding.startTime) {
+      return false;
+    }
     const wasKnown = this.known.has(finding.server, now);
     const isNews = this.known.take(finding, now);
-    const server = this.options.serverById(finding.server);
     const isLost =
       !wasKnown && server !== undefined && this.isUnreachable(server.id);
     if (isNews && isLost) {
@@ -160,15 +164,20 @@
   }
 
   /** Takes changes of the list of servers. */
-  noteListing(
-    changed: readonly CatalogServer[],
-    departed: readonly CatalogServer[],
-  ): void {
+  noteListing({changed, departed, restarted}: ServerNews): void {
     const now = this.options.clock.now();
     changed.forEach(({id}) => this.known.noteListed(id));
+    restarted.forEach(({id}) => this.noteRestarted(id));
     departed.forEach(({id}) => this.known.noteDeparted(id, now));
   }
 
+  /** What was found of a former life, or is being found, says nothing of the new one. */
+  private noteRestarted(id: string): void {
+    this.known.noteRestarted(id);
+    this.inquiries.delete(id);
+    this.holds.delete(id);
+  }
+
   /** Asks peers, tries as well, and tells everyone if nobody reached the server. */
   private async inquire(server: CatalogServer): Promise<void> {
     const {clock, self, log} = this.options;
@@ -186,12 +195,16 @@
       inquiry.settled,
       this.sleepUntil(startedAt + VOTES_MS),
     ]);
+    if (this.inquiries.get(id) !== inquiry) {
+      // The server has started again meanwhile.
+      return;
+    }
     this.inquiries.delete(id);
     this.hold(id);
     const {isUnreachable, voteCount} = inquiry;
     log.info('server-tried', {server: id, isUnreachable, votes: voteCount});
     if (isUnreachable && !this.isStopped) {
-      this.find({server: id, reached: false, at: clock.now()});
+      this.find(server, false);
       await this.confirmOn(server);
     }
   }
@@ -206,17 +219,22 @@
     }
     const result = await this.attempt(server);
     const reached = result === ContactResult.REACHED;
-    this.find({server: server.id, reached, at: clock.now()});
+    this.find(server, reached);
     if (!reached) {
       await this.confirmOn(server);
     }
   }
 
-  private find(finding: ReachFinding): void {
-    const {log} = this.options;
-    const {server, reached} = finding;
-    log.warn(reached ? 'server-reached-again' : 'server-unreachable', {server});
-    this.hear(finding);
+  /** Takes and tells what was found of one life of a server, unless it has ended. */
+  private find({id, startTime}: CatalogServer, reached: boolean): void {
+    const {log, clock} = this.options;
+    if (this.options.serverById(id)?.startTime !== startTime) {
+      return;
+    }
+    log.warn(reached ? 'server-reached-again' : 'server-unreachable', {
+      server: id,
+    });
+    this.hear({server: id, reached, at: clock.now(), startTime});
     this.options.announce();
   }
 
--- a/src/reachability/unreachable-servers.spec.ts
+++ b/src/reachability/unreachable-servers.spec.ts
@@ -5,7 +5,7 @@
 const FLOW_LIFETIME_MS = 60_000;
 
 function silentAt(server: string, at: number) {
-  return {server, reached: false, at};
+  return {server, reached: false, at, startTime: 0};
 }
 
 test('a finding holds for 3.5 s, longer when it is confirmed, and is news once', () => {
@@ -23,7 +23,7 @@
   const servers = UnreachableServers.create(FLOW_LIFETIME_MS);
   servers.take(silentAt('s', 0), 0);
   assert.equal(
-    servers.take({server: 's', reached: true, at: 2_500}, 2_510),
+    servers.take({server: 's', reached: true, at: 2_500, startTime: 0}, 2_510),
     true,
   );
   assert.equal(servers.has('s', 2_510), false);
--- a/src/reachability/unreachable-servers.ts
+++ b/src/reachability/unreachable-servers.ts
@@ -28,6 +28,8 @@
   readonly reached: boolean;
   /** When it was tried last; monotonic milliseconds. */
   readonly at: number;
+  /** The life that was tried: the time of start that the server says; 0: not said. */
+  readonly startTime: number;
 }
 
 /** The findings that one daemon knows. */
@@ -89,6 +91,12 @@
     this.ended.delete(server);
   }
 
+  /** Notes that a server started again: what was found of it before says nothing. */
+  noteRestarted(server: string): void {
+    this.findings.delete(server);
+    this.ended.delete(server);
+  }
+
   /** Findings to tell in a beat, the newest first. */
   told(now: number): ReachFinding[] {
     return [...this.findings.values()]
--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -55,6 +55,7 @@
     coldUntil: 0,
     createdRevision: 1,
     revision: 1,
+    startTime: 0,
   };
 }
 
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -9,6 +9,7 @@
 import type {Clock} from '../ports/clock.js';
 import type {CallerPosition, CookiePacket} from '../ports/cookie-fabric.js';
 import type {Counters} from '../ports/counters.js';
+import {KeptPackets} from './kept-packets.js';
 import type {RequestObserver} from './request-outcome.js';
 import {RequestWatch} from './request-watch.js';
 import {SeenFlows} from './seen-flows.js';
@@ -70,6 +71,8 @@
   readonly inForceLimitMs: number;
   /** Told of callers' requests as they end; undefined where nobody asks. */
   readonly observer: RequestObserver | undefined;
+  /** Whether packets are kept for servers that start again; undefined: no. */
+  readonly keepsPackets?: boolean;
 }
 
 /** Decides on packets that carry cookies. */
@@ -80,13 +83,14 @@
   private readonly choice: ServerChoice;
 
   private constructor(private readonly options: CookieRouterOptions) {
-    const {counters, work, clock, observer} = options;
+    const {counters, work, clock, observer, keepsPackets} = options;
     this.choice = ServerChoice.create(options);
     this.watch = observer && RequestWatch.create(observer);
     this.flows = SeenFlows.create({
       counters,
       work,
       watch: this.watch,
+      packets: keepsPackets === true ? KeptPackets.create() : undefined,
       onUnanswered: server => this.choice.noteUnanswered(server, clock.now()),
     });
   }
@@ -228,7 +232,7 @@
    * Whether no version can be in force yet that is not known: an older copy may
    * lack a route, so the daemon stays silent about what it does not hold.
    */
-  private isCurrent(): boolean {
+  isCurrent(): boolean {
     const {catalog, clock, inForceLimitMs} = this.options;
     const oldest = clock.now() - (inForceLimitMs - REFUSAL_MARGIN_MS);
     const {routesConfirmedAt, serversConfirmedAt} = catalog.stamp;
--- a/src/routing/seen-flows.ts
+++ b/src/routing/seen-flows.ts
@@ -8,6 +8,7 @@
 import {Metric, type Counters} from '../ports/counters.js';
 import type {KnownRoute} from '../catalog/route-table.js';
 import {destinationKey} from './flow-key.js';
+import type {KeptPackets} from './kept-packets.js';
 import type {RequestWatch} from './request-watch.js';
 import type {ServerWorkLedger} from './server-work.js';
 
@@ -42,6 +43,8 @@
   openingSentAt: number;
   /** Whether the caller has heard from the server. */
   isOpen: boolean;
+  /** Whether the caller closed it, or it was ended here. */
+  hasEnded: boolean;
   /** Whether a request is under way. */
   isBusy: boolean;
   /** When the newest request passed; monotonic milliseconds. */
@@ -53,6 +56,8 @@
   /** Where the caller stood with its newest packet, and when that came. */
   caller: CallerPosition;
   seenAt: number;
+  /** The packet that would be sent to the server again; undefined: none is kept. */
+  kept: CookiePacket | undefined;
   /** Monotonic milliseconds after which it is forgotten. */
   forgetAt: number;
 }
@@ -64,6 +69,8 @@
   readonly work: ServerWorkLedger;
   /** Follows requests to their ends; undefined where nobody asks for them. */
   readonly watch: RequestWatch | undefined;
+  /** Which packets are kept; undefined where none are. */
+  readonly packets: KeptPackets | undefined;
   /** Told of a server that left a packet without an answer. */
   onUnanswered(server: CatalogServer): void;
 }
@@ -106,6 +113,42 @@
     return waiting.map(({caller}) => caller);
   }
 
+  /**
+   * The flows of a server that started again, those with a request under way first: it
+   * comes to nothing, and packets go where the server is now.
+   */
+  renew(server: CatalogServer): SeenFlow[] {
+    const all = this.flowsAt(server.id);
+    const waiting = all.filter(({isBusy}) => isBusy);
+    const flows = [...waiting, ...all.filter(({isBusy}) => !isBusy)];
+    flows.forEach(flow => {
+      this.finish(flow);
+      this.options.watch?.drop(keyOf(flow.caller));
+      flow.server = server;
+      const tried = flow.tried.map(each =>
+        each.id === server.id ? server : each,
+      );
+      flow.tried.splice(0, tried.length, ...tried);
+    });
+    return flows;
+  }
+
+  /** Open flows of a server that have no request under way. */
+  idleAt(server: string): SeenFlow[] {
+    return this.flowsAt(server).filter(isIdle);
+  }
+
+  /** Ends a flow that has no request under way; false if it has one, or has ended. */
+  endIdle(flow: SeenFlow): boolean {
+    const ends = isIdle(flow);
+    flow.hasEnded ||= ends;
+    return ends;
+  }
+
+  private flowsAt(server: string): SeenFlow[] {
+    return [...this.flows.values()].filter(flow => flow.server.id === server);
+  }
+
   /** Records where an opening packet or a copy of it was sent. */
   noteOpening(packet: CookiePacket, server: CatalogServer, now: number): void {
     this.sweep(now);
@@ -137,7 +180,8 @@
     named: CatalogServer,
     now: number,
   ): CatalogServer {
-    const flow = this.find(packet) ?? this.addOpen(packet, named, now);
+    const known = this.find(packet);
+    const flow = known ?? this.addOpen(packet, named, now);
     if (!flow.isOpen) {
       flow.isOpen = true;
       flow.server = named;
@@ -148,6 +192,9 @@
     flow.forgetAt = now + IDLE_LIFETIME_MS;
     flow.caller = positionOf(packet);
     flow.seenAt = now;
+    if (known !== undefined) {
+      this.keep(flow, packet);
+    }
     this.noteProgress(flow, packet, now);
     this.noteRepeat(flow, packet);
     const server = flow.tried.length > 0 ? flow.server : named;
@@ -169,12 +216,17 @@
       isOpen: true,
       acknowledgedBefore: packet.acknowledged,
     };
-    if (!packet.closes && !packet.resets) {
-      this.put(packet, flow);
+    if (!packet.closes && !packet.resets && this.put(packet, flow)) {
+      this.keep(flow, packet);
     }
     return flow;
   }
 
+  /** Keeps a packet of a flow on record in place of the one that is kept. */
+  private keep(flow: SeenFlow, packet: CookiePacket): void {
+    flow.kept = this.options.packets?.choose(flow.kept, packet);
+  }
+
   /** A request is under way from its first data to the first new answer. */
   private noteProgress(
     flow: SeenFlow,
@@ -219,20 +271,31 @@
   /** A closed flow may still send for a while, so its record lasts a little. */
   private end(packet: CookiePacket, flow: SeenFlow, now: number): void {
     this.finish(flow);
+    flow.hasEnded = true;
     flow.forgetAt = now + OPENING_LIFETIME_MS;
     if (flow.tried.length === 0) {
-      this.flows.delete(keyOf(packet));
+      this.forget(keyOf(packet), flow);
     }
   }
 
-  private put(packet: CookiePacket, flow: SeenFlow): void {
+  private forget(key: string, flow: SeenFlow): void {
+    this.options.packets?.release(flow.kept);
+    flow.kept = undefined;
+    this.flows.delete(key);
+  }
+
+  /** Puts a flow on record; false if there is no room. */
+  private put(packet: CookiePacket, flow: SeenFlow): boolean {
     const before = this.find(packet);
     if (before !== undefined) {
       this.finish(before);
+      this.forget(keyOf(packet), before);
     }
-    if (before !== undefined || this.flows.size < MAXIMUM_FLOWS) {
+    const hasRoom = this.flows.size < MAXIMUM_FLOWS;
+    if (hasRoom) {
       this.flows.set(keyOf(packet), flow);
     }
+    return hasRoom;
   }
 
   private sweep(now: number): void {
@@ -243,7 +306,7 @@
     this.flows.forEach((flow, key) => {
       if (flow.forgetAt <= now) {
         this.finish(flow);
-        this.flows.delete(key);
+        this.forget(key, flow);
       }
     });
   }
@@ -261,16 +324,23 @@
     tried: [],
     openingSentAt: now,
     isOpen: false,
+    hasEnded: false,
     isBusy: false,
     requestedAt: now,
     acknowledgedBefore: 0,
     newestData: NO_DATA,
     caller: positionOf(packet),
     seenAt: now,
+    kept: undefined,
     forgetAt,
   };
 }
 
+/** Whether no request is under way: any data makes one until the answer begins. */
+function isIdle({isOpen, isBusy, hasEnded}: SeenFlow): boolean {
+  return isOpen && !isBusy && !hasEnded;
+}
+
 /** Not the packet itself: it would keep its bytes. */
 function positionOf(packet: CookiePacket): CallerPosition {
   const {sourceAddress, sourcePort, acknowledged} = packet;
--- a/src/routing/server-work.ts
+++ b/src/routing/server-work.ts
@@ -51,7 +51,7 @@
 
 /** All that one peer told last. */
 interface ToldVector {
-  readonly work: ReadonlyMap<number, ToldWork>;
+  readonly work: Map<number, ToldWork>;
   /** Monotonic milliseconds after which it says nothing any more. */
   readonly validUntil: number;
 }
@@ -183,6 +183,13 @@
     });
   }
 
+  /** Drops what is known of a server, as told by peers too: it started again. */
+  forget(server: string): void {
+    const hash = this.hashes.of(server);
+    this.sights.delete(hash);
+    this.told.forEach(({work}) => work.delete(hash));
+  }
+
   /** Drops what is known of servers other than these. */
   retain(servers: readonly string[]): void {
     const kept = new Set(servers.map(server => this.hashes.of(server)));
--- a/standins/catalog-records.ts
+++ b/standins/catalog-records.ts
@@ -38,6 +38,7 @@
     coldUntil: 0,
     createdRevision: 1,
     revision: 1,
+    startTime: 0,
     ...part,
   };
 }
--- a/standins/catalog-store.ts
+++ b/standins/catalog-store.ts
@@ -8,6 +8,7 @@
   CatalogServer,
   DomainChange,
   RouteListing,
+  UnreadableEntry,
 } from '../src/catalog/records.js';
 import {
   CatalogSource,
@@ -44,6 +45,7 @@
   readonly revision: number;
   readonly routes?: RouteListing;
   readonly written?: CatalogServer;
+  readonly unreadable?: UnreadableEntry;
   readonly removed?: string;
   readonly domain?: DomainChange;
 }
@@ -63,6 +65,8 @@
   private revision = 1;
   private routes: RouteListing | undefined;
   private readonly servers = new Map<string, CatalogServer>();
+  /** Entries that another writer has written over. */
+  private readonly spoiled = new Map<string, UnreadableEntry>();
   private readonly evacuated = new Set<string>();
   private events: StoredEvent[] = [];
   private forgottenUpTo = 0;
@@ -96,14 +100,26 @@
     const createdRevision = known?.createdRevision ?? revision;
     const written = {...server, revision, createdRevision};
     this.servers.set(server.id, written);
+    this.spoiled.delete(server.id);
     this.note({revision, written});
     return written;
   }
 
+  /** Has another writer write what cannot be read under a server's key. */
+  spoilServer(id: string): void {
+    this.keepOld();
+    this.revision += 1;
+    const {revision} = this;
+    const unreadable = {id, revision, cause: 'noise'};
+    this.spoiled.set(id, unreadable);
+    this.note({revision, unreadable});
+  }
+
   /** Removes a server's entry. */
   removeServer(id: string): void {
     this.keepOld();
-    if (this.servers.delete(id)) {
+    const isSpoiled = this.spoiled.delete(id);
+    if (this.servers.delete(id) || isSpoiled) {
       this.revision += 1;
       this.note({revision: this.revision, removed: id});
     }
@@ -139,9 +155,12 @@
   /** Everything as it is now. */
   read(): CatalogReading {
     const {revision, routes} = this;
-    const servers = [...this.servers.values()];
+    const servers = [...this.servers.values()].filter(
+      ({id}) => !this.spoiled.has(id),
+    );
+    const unreadable = [...this.spoiled.values()];
     const evacuated = [...this.evacuated];
-    return {routes, servers: {revision, servers, evacuated}};
+    return {routes, servers: {revision, servers, unreadable, evacuated}};
   }
 
   /** Everything as it was `lagMs` ago. */
@@ -160,6 +179,7 @@
       revision: this.revision,
       routes: events.flatMap(({routes}) => routes ?? []).pop(),
       written: events.flatMap(({written}) => written ?? []),
+      unreadable: events.flatMap(({unreadable}) => unreadable ?? []),
       removed: events.flatMap(({removed, revision: at}) =>
         removed === undefined ? [] : [{id: removed, revision: at}],
       ),
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -216,6 +216,7 @@
         failureDomain: this.domainOf(this.serverCount),
         slots: plan?.slots ?? 1,
         coldUntil: this.clock.now(),
+        startTime: 0,
       },
       {workMs: plan?.workMs ?? 1, queueLength: QUEUE_LENGTH},
     );
