Flows at lost servers and former lives end early: tests in a world in memory

A flow whose request may not be repeated no longer counts as idle once its server cannot be reached: the waiting ones among all were marked as finished. A daemon tries a server itself before it ends idle flows there, since those that found it unreachable may be cut off themselves.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -269,6 +269,7 @@
       counters,
       linkMbps: settings.linkMbps,
       isUnreachable: id => this.reach.isUnreachable(id),
+      isLost: server => this.reach.isLost(server),
     });
   }
 
@@ -332,7 +333,7 @@
 
   private noteUnreachable(server: CatalogServer): void {
     this.packets.resetWaiting(server);
-    this.endings.noteLost(server);
+    void this.endings.noteUnreachable(server);
   }
 
   private noteEnded(server: CatalogServer): void {
@@ -340,7 +341,7 @@
     if (feedback && this.router.isCurrent()) {
       this.packets.resetWaiting(server, RefusalReason.SERVER_GONE);
     }
-    this.endings.noteLost(server);
+    this.endings.noteEnded(server);
   }
 
   /** Logs a change; the work of departed servers is forgotten. */
--- a/src/entry/flow-endings.ts
+++ b/src/entry/flow-endings.ts
@@ -48,6 +48,8 @@
   readonly linkMbps: number;
   /** Whether several daemons cannot reach a server. */
   isUnreachable(server: string): boolean;
+  /** The same once this daemon has tried as well. */
+  isLost(server: CatalogServer): Promise<boolean>;
 }
 
 /** The flows that one daemon ends early. */
@@ -85,14 +87,23 @@
     }
   }
 
-  /** Ends idle flows of a server that has ended, or that several daemons cannot reach. */
-  noteLost(server: CatalogServer): void {
-    if (this.options.isOn) {
-      const idle = this.options.router.flows.idleAt(server.id);
-      this.queue.add(idle.map(flow => this.resetOf(flow, server)));
+  /** Ends idle flows of a server whose end is certain. */
+  noteEnded(server: CatalogServer): void {
+    this.queue.add(this.idleAt(server).map(flow => this.resetOf(flow, server)));
+  }
+
+  /** Ends idle flows of a server that this daemon cannot reach, and several others. */
+  async noteUnreachable(server: CatalogServer): Promise<void> {
+    if (this.idleAt(server).length > 0 && (await this.options.isLost(server))) {
+      this.noteEnded(server);
     }
   }
 
+  private idleAt({id}: CatalogServer): SeenFlow[] {
+    const {isOn, router} = this.options;
+    return isOn ? router.flows.idleAt(id) : [];
+  }
+
   /** Sends packets of flows to the life of a server that began before `since`. */
   private sendAgain(
     flows: readonly SeenFlow[],
--- a/src/reachability/server-reachability.ts
+++ b/src/reachability/server-reachability.ts
@@ -136,6 +136,24 @@
     this.options.vote(asker, id, result);
   }
 
+  /**
+   * Tries to reach a server that was found unreachable, before it is taken for lost here:
+   * those that found it so may be cut off themselves. Tells all if it was reached.
+   */
+  async isLost(server: CatalogServer): Promise<boolean> {
+    if (this.attempts >= MAXIMUM_ATTEMPTS) {
+      return false;
+    }
+    const result = await this.attempt(server);
+    if (result === ContactResult.SILENT) {
+      return this.isUnreachable(server.id);
+    }
+    if (!this.isStopped) {
+      this.find(server, true);
+    }
+    return false;
+  }
+
   /** Takes what a peer found that was asked. */
   onVote(daemon: number, id: string, result: ContactResult): void {
     this.inquiries.get(id)?.vote(daemon, result);
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -142,13 +142,13 @@
    */
   takeCutOff(server: CatalogServer): CallerPosition[] {
     const {catalog, clock} = this.options;
-    return this.flows
-      .takeWaiting(server.id, clock.now())
-      .filter(
-        ({destinationAddress, destinationPort}) =>
-          catalog.routeOf(destinationAddress, destinationPort)?.repeatable ===
-          true,
-      );
+    return this.flows.takeWaiting(
+      server.id,
+      clock.now(),
+      ({destinationAddress, destinationPort}) =>
+        catalog.routeOf(destinationAddress, destinationPort)?.repeatable ===
+        true,
+    );
   }
 
   /**
--- a/src/routing/seen-flows.ts
+++ b/src/routing/seen-flows.ts
@@ -98,15 +98,19 @@
   }
 
   /**
-   * Callers that wait for a server's answer and have sent of late; their flows count as
-   * ended from now on.
+   * Callers that wait for a server's answer, have sent of late and are wanted; their flows
+   * count as ended from now on. The others wait on.
    */
-  takeWaiting(server: string, now: number): CallerPosition[] {
-    const waiting = [...this.flows.values()].filter(
+  takeWaiting(
+    server: string,
+    now: number,
+    isWanted: (caller: CallerPosition) => boolean,
+  ): CallerPosition[] {
+    const waiting = this.flowsAt(server).filter(
       flow =>
         flow.isBusy &&
-        flow.server.id === server &&
-        now - flow.seenAt <= LONGEST_REPEAT_MS,
+        now - flow.seenAt <= LONGEST_REPEAT_MS &&
+        isWanted(flow.caller),
     );
     waiting.forEach(flow => this.finish(flow));
     waiting.forEach(({caller}) => this.options.watch?.drop(keyOf(caller)));
--- a/standins/cookie-caller-fleet.ts
+++ b/standins/cookie-caller-fleet.ts
@@ -34,8 +34,16 @@
     return new CookieCallerFleet(options);
   }
 
-  /** Starts a caller that gives up `limitMs` from now; it has some requests. */
-  start(route: CatalogRoute, requests: number, limitMs: number): CookieCaller {
+  /**
+   * Starts a caller that gives up `limitMs` from now; it has some requests, with a pause
+   * after each answer.
+   */
+  start(
+    route: CatalogRoute,
+    requests: number,
+    limitMs: number,
+    pauseMs = 0,
+  ): CookieCaller {
     this.count += 1;
     const {clock, firstAddress, addresses} = this.options;
     const startedAt = clock.now();
@@ -46,6 +54,7 @@
       destinationAddress: route.address,
       destinationPort: route.port,
       requests,
+      pauseMs,
       deadline: startedAt + limitMs,
       send: packet => this.options.send(packet),
       onEnd: end => this.options.onEnd(end, startedAt),
--- a/standins/cookie-callers.ts
+++ b/standins/cookie-callers.ts
@@ -37,6 +37,8 @@
   readonly destinationPort: number;
   /** Requests on the flow, one after the other. */
   readonly requests: number;
+  /** Time from an answer to the next request, in milliseconds; undefined: none. */
+  readonly pauseMs?: number;
   /** Monotonic milliseconds at which the caller gives up. */
   readonly deadline: number;
   send(packet: CookiePacket): void;
@@ -49,6 +51,12 @@
   /** The server that opened the flow. */
   server: string | undefined;
   answers = 0;
+  /** Whether a request is under way, or was when the flow ended. */
+  isWaiting = false;
+  /** How the flow ended; undefined while it is open. */
+  ending: CallEnd | undefined;
+  /** How many requests the server has confirmed. */
+  private confirmed = 0;
   private cookie = 0;
   private isOver = false;
   private readonly timers: Timer[] = [];
@@ -74,6 +82,8 @@
       this.takeReset(packet.server);
     } else if (packet.kind === 'opened') {
       this.takeOpened(packet.server);
+    } else if (packet.server === this.server && packet.kind === 'received') {
+      this.confirmed = this.answers + 1;
     } else if (packet.server === this.server) {
       this.takeAnswer();
     }
@@ -123,20 +133,34 @@
 
   private takeAnswer(): void {
     this.answers += 1;
+    this.isWaiting = false;
     if (this.answers < this.options.requests) {
       this.send({dataLength: 0});
-      this.sendRequest(RESEND_MS, this.answers);
+      this.sendNext();
       return;
     }
     this.send({dataLength: 0, closes: true});
     this.end(CallEnd.ANSWERED);
   }
 
-  /** Sends a request, and again until its answer comes. */
+  private sendNext(): void {
+    const {clock, pauseMs = 0} = this.options;
+    const request = this.answers;
+    if (pauseMs === 0) {
+      this.sendRequest(RESEND_MS, request);
+    } else {
+      this.at(clock.now() + pauseMs, () =>
+        this.sendRequest(RESEND_MS, request),
+      );
+    }
+  }
+
+  /** Sends a request, and again until it is confirmed or its answer comes. */
   private sendRequest(pauseMs: number, request: number): void {
-    if (this.isOver || this.answers > request) {
+    if (this.isOver || this.answers > request || this.confirmed > request) {
       return;
     }
+    this.isWaiting = true;
     this.send({dataLength: DATA_LENGTH});
     const {clock} = this.options;
     this.at(clock.now() + pauseMs, () =>
@@ -176,6 +200,7 @@
   private end(end: CallEnd): void {
     if (!this.isOver) {
       this.isOver = true;
+      this.ending = end;
       this.timers.forEach(timer => timer.cancel());
       this.options.onEnd(end, this);
     }
--- a/standins/cookie-server-fleet.ts
+++ b/standins/cookie-server-fleet.ts
@@ -22,6 +22,8 @@
   readonly workMs: number;
   /** Requests that wait while all slots are taken. */
   readonly queueLength: number;
+  /** Whether it confirms requests before it answers them; undefined: no. */
+  readonly confirms?: boolean;
 }
 
 /** What a fleet of servers is made from. */
@@ -50,8 +52,9 @@
 
   /** Starts a server, also at the address of one that has ended. */
   start(published: NewServer, plan: ServerWorkPlan): CookieServer {
-    const {store, clock} = this.options;
+    const {store, clock, judge} = this.options;
     const entry = store.putServer({...published, state: ServerState.READY});
+    judge.noteStarted(entry.id);
     const server = CookieServer.create({
       entry,
       clock,
@@ -63,6 +66,22 @@
     return server;
   }
 
+  /**
+   * Has a server start again under its id, which knows nothing of before, at an address
+   * of its own choice.
+   */
+  restart(
+    former: CookieServer,
+    part: {startTime: number; address: number},
+    plan: ServerWorkPlan,
+  ): CookieServer {
+    former.crash(true);
+    if (this.occupants.get(former.entry.address) === former) {
+      this.occupants.delete(former.entry.address);
+    }
+    return this.start({...former.entry, ...part}, plan);
+  }
+
   /** The server of an id, whether it runs or not. */
   find(id: string): CookieServer | undefined {
     return this.servers.get(id);
@@ -84,7 +103,7 @@
     judge.noteDraining(server.entry.id);
     this.options.later(afterMs, () => {
       server.crash(false);
-      store.removeServer(server.entry.id);
+      this.removeEntry(server);
     });
   }
 
@@ -97,9 +116,15 @@
   /** Ends a server unplanned; its entry lapses `lapseMs` later. */
   crash(server: CookieServer, silent: boolean, lapseMs: number): void {
     server.crash(silent);
-    this.options.later(lapseMs, () =>
-      this.options.store.removeServer(server.entry.id),
-    );
+    this.options.later(lapseMs, () => this.removeEntry(server));
+  }
+
+  /** Removes a server's entry, unless it is that of a later run by now. */
+  private removeEntry(server: CookieServer): void {
+    const {id} = server.entry;
+    if (this.servers.get(id) === server) {
+      this.options.store.removeServer(id);
+    }
   }
 
   /** Whether the host at an address answers; one without a server refuses. */
--- a/standins/cookie-servers.ts
+++ b/standins/cookie-servers.ts
@@ -10,7 +10,7 @@
 export interface ServerPacket {
   readonly flow: string;
   readonly server: string;
-  readonly kind: 'opened' | 'answer' | 'reset';
+  readonly kind: 'opened' | 'received' | 'answer' | 'reset';
   /** The cookie that the server got last. */
   readonly cookie: number;
 }
@@ -22,6 +22,8 @@
   /** Milliseconds that one request takes. */
   readonly workMs: number;
   readonly queueLength: number;
+  /** Whether it confirms requests before it answers them; undefined: no. */
+  readonly confirms?: boolean;
   send(packet: ServerPacket): void;
 }
 
@@ -96,11 +98,16 @@
   }
 
   private admit(flow: string, cookie: number): void {
-    const {entry, queueLength} = this.options;
+    const {entry, queueLength, confirms} = this.options;
     const run = () => this.run(flow, cookie);
-    if (this.busy < entry.slots) {
+    const isFree = this.busy < entry.slots;
+    const isTaken = isFree || this.queue.length < queueLength;
+    if (isTaken && confirms === true) {
+      this.reply(flow, 'received', cookie);
+    }
+    if (isFree) {
       run();
-    } else if (this.queue.length < queueLength) {
+    } else if (isTaken) {
       this.queue.push(run);
     }
   }
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -24,7 +24,7 @@
 } from './catalog-store.js';
 import {CookieCallerFleet} from './cookie-caller-fleet.js';
 import {CallEnd, flowName, type CookieCaller} from './cookie-callers.js';
-import {CookieServerFleet} from './cookie-server-fleet.js';
+import {CookieServerFleet, type ServerWorkPlan} from './cookie-server-fleet.js';
 import type {CookieServer, ServerPacket} from './cookie-servers.js';
 import {FakeClock, ProcessClock} from './fake-clock.js';
 import {ChannelNetwork, MemoryChannel} from './memory-channel.js';
@@ -55,6 +55,9 @@
 /** What cold servers take, as on the users' platform. */
 export const COLD_LIMITS: ColdLimits = {excess: 1.5, slack: 5};
 
+/** What the clocks of servers' hosts say at starts, in turn; Unix milliseconds. */
+const RESTART_TIMES: readonly number[] = [1_800_000_000_000, 1_700_000_000_000];
+
 const NO_FEATURES: EntryFeatures = {feedback: false, pressure: false};
 
 /** How the world is laid out. */
@@ -77,6 +80,8 @@
   /** Megabits a second of the store's link, and of daemons' in turn; any if undefined. */
   readonly storeLinkMbps?: number;
   readonly linksMbps?: readonly number[];
+  /** Whether servers confirm requests before they answer them; undefined: no. */
+  readonly confirms?: boolean;
   /** How daemons place; the usual way if undefined. */
   readonly placement?: Placement;
   /** What the deployment asks for; nothing if undefined. */
@@ -116,6 +121,7 @@
   private readonly callers: CookieCallerFleet;
   private routes: RouteListing = {version: 0, routes: [], coldServices: []};
   private serverCount = 0;
+  private restarts = 0;
 
   private constructor(
     private readonly plan: WorldPlan,
@@ -218,10 +224,40 @@
         coldUntil: this.clock.now(),
         startTime: 0,
       },
-      {workMs: plan?.workMs ?? 1, queueLength: QUEUE_LENGTH},
+      this.workOf(service),
+    );
+  }
+
+  /** Has a server start again under its id, elsewhere if told. */
+  restartServer(server: CookieServer, address?: number): CookieServer {
+    const {entry} = server;
+    this.restarts += 1;
+    // Any other number is another life: the clocks of hosts jump.
+    const startTime = RESTART_TIMES[this.restarts % RESTART_TIMES.length];
+    return this.servers.restart(
+      server,
+      {startTime: startTime + this.restarts, address: address ?? entry.address},
+      this.workOf(entry.service),
     );
   }
 
+  /** Has another writer write over a server's entry. */
+  spoilEntry(server: CookieServer): void {
+    this.store.spoilServer(server.entry.id);
+  }
+
+  /** Has a server write its entry again. */
+  mendEntry({entry, state}: CookieServer): void {
+    this.store.putServer({...entry, state});
+  }
+
+  private workOf(service: string): ServerWorkPlan {
+    const plan = this.plan.services.find(({name}) => name === service);
+    const {confirms} = this.plan;
+    const workMs = plan?.workMs ?? 1;
+    return {workMs, queueLength: QUEUE_LENGTH, confirms};
+  }
+
   /** A server by id, whether it runs or not. */
   serverOf(id: string): CookieServer | undefined {
     return this.servers.find(id);
@@ -326,9 +362,14 @@
     return daemon;
   }
 
-  /** Starts a caller with some requests on one flow. */
-  call(route: CatalogRoute, requests: number, limitMs: number): CookieCaller {
-    return this.callers.start(route, requests, limitMs);
+  /** Starts a caller with some requests on one flow, and pauses between them. */
+  call(
+    route: CatalogRoute,
+    requests: number,
+    limitMs: number,
+    pauseMs = 0,
+  ): CookieCaller {
+    return this.callers.start(route, requests, limitMs, pauseMs);
   }
 
   /** Hands a daemon's packet over to the server that it means. */
--- a/standins/promise-judge.ts
+++ b/standins/promise-judge.ts
@@ -76,6 +76,11 @@
     this.drainingSince.set(server, this.options.clock.now());
   }
 
+  /** Notes that a server started, maybe again. */
+  noteStarted(server: string): void {
+    this.drainingSince.delete(server);
+  }
+
   /** Notes that a failure domain was evacuated now. */
   noteEvacuated(failureDomain: string): void {
     const since = this.evacuatedSince.get(failureDomain);
