--- a/src/entry/flow-endings.spec.ts
+++ b/src/entry/flow-endings.spec.ts
@@ -4,12 +4,14 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import fc from 'fast-check';
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
 import {OutageKind} from '../../standins/catalog-store.js';
 import type {CookieCaller} from '../../standins/cookie-callers.js';
 import type {CookieServer} from '../../standins/cookie-servers.js';
 import {CookieWorld, type WorldPlan} from '../../standins/cookie-world.js';
 import {createRoute} from '../../standins/catalog-records.js';
+import {strike} from '../../standins/world-faults.js';
 
 const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
 const PAY = createRoute('pay', {address: 0xc6120001, port: 443});
@@ -109,7 +111,7 @@
   const [cut, moved] = world.liveServers('pay');
   const waiting = flowsAt(callers, [cut, moved]);
   world.pauseServer(world.restartServer(cut), 3_000);
-  world.restartServer(moved, 0x0a900001);
+  world.moveServer(moved);
   await world.clock.advance(2_500);
   const early = endedOf(callers);
   assert.deepEqual(new Set(early), new Set(flowsAt(callers, [moved])));
@@ -296,3 +298,87 @@
   kept.forEach(({answers}, index) => assert.ok(answers > before[index]));
   assert.deepEqual(world.broken, []);
 });
+
+const DOCS = createRoute('docs', {
+  address: 0xc6120002,
+  port: 443,
+  repeatable: true,
+});
+
+/** Each daemon that is cut off has links to servers, or to peers, that are whole. */
+const CUTS = ['cut-peers', 'cut-servers'];
+
+const FAULTS = fc
+  .array(
+    fc.record({
+      afterMs: fc.integer({min: 50, max: 1_500}),
+      kind: fc.constantFrom(
+        'restart',
+        'move',
+        'spoil',
+        'kill',
+        ...CUTS,
+        'cut-store',
+        'store-down',
+        'forget',
+        'drain',
+        'crash',
+        'pause',
+        'reuse',
+      ),
+      which: fc.nat(7),
+      lastsMs: fc.integer({min: 200, max: 4_000}),
+    }),
+    {minLength: 2, maxLength: 8},
+  )
+  .map(faults => {
+    // Two daemons that are cut off at once find servers unreachable that live.
+    const firstCut = faults.find(({kind}) => CUTS.includes(kind));
+    return faults.filter(
+      fault => !CUTS.includes(fault.kind) || fault === firstCut,
+    );
+  });
+
+test('under any mix of restarts, spoiled entries and faults no flow of a living server is reset', async () => {
+  const hasher = await XxhashHasher.create();
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({min: 1, max: 1e6}),
+      fc.boolean(),
+      FAULTS,
+      async (seed, isOn, faults) => {
+        const world = await CookieWorld.create(
+          {
+            seed,
+            daemons: 5,
+            failureDomains: ['a', 'b'],
+            services: [
+              {name: 'pay', servers: 6, slots: 2, workMs: 20},
+              {name: 'docs', servers: 3, slots: 2, workMs: 400},
+            ],
+            routes: [PAY, DOCS],
+            bounds: BOUNDS,
+            features: {feedback: isOn, pressure: false},
+            confirms: true,
+          },
+          hasher,
+        );
+        const call = (index: number) =>
+          world.call(index % 2 === 0 ? PAY : DOCS, 50, 15_000, 300);
+        Array.from({length: 30}, (_call, index) => call(index));
+        for (const fault of faults) {
+          await world.clock.advance(fault.afterMs);
+          strike(world, fault, [PAY, DOCS]);
+          Array.from({length: 6}, (_call, index) => call(index));
+        }
+        await world.clock.advance(10_000);
+        // Bounds in time hold while the store answers, as judged elsewhere.
+        const flows = world.broken.filter(({promise}) =>
+          ['reset', 'flow', 'route'].includes(promise),
+        );
+        assert.deepEqual(flows, []);
+      },
+    ),
+    {seed: 23, numRuns: Number(process.env['WELDYARD_FUZZ_RUNS'] ?? 25)},
+  );
+});
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -48,6 +48,7 @@
 const CHECK_MS = 500;
 const FIRST_DAEMON_ADDRESS = 0x0a000001;
 const FIRST_SERVER_ADDRESS = 0x0a800001;
+const FIRST_FREE_ADDRESS = 0x0a900001;
 const FIRST_CALLER_ADDRESS = 0x64400001;
 const CALLER_ADDRESSES = 50;
 const SERVER_PORT = 8_080;
@@ -241,14 +242,21 @@
     );
   }
 
+  /** The same at an address where nobody was. */
+  moveServer(server: CookieServer): CookieServer {
+    return this.restartServer(server, FIRST_FREE_ADDRESS + this.restarts);
+  }
+
   /** Has another writer write over a server's entry. */
   spoilEntry(server: CookieServer): void {
     this.store.spoilServer(server.entry.id);
   }
 
-  /** Has a server write its entry again. */
-  mendEntry({entry, state}: CookieServer): void {
-    this.store.putServer({...entry, state});
+  /** Has a server write its entry again, if it lives. */
+  mendEntry({entry, state, hasCrashed}: CookieServer): void {
+    if (!hasCrashed) {
+      this.store.putServer({...entry, state});
+    }
   }
 
   private workOf(service: string): ServerWorkPlan {
--- a/standins/world-faults.ts
+++ b/standins/world-faults.ts
@@ -78,6 +78,12 @@
         later(() => world.startServer(other, server.entry.address));
       }
     },
+    restart: () => void world.restartServer(server),
+    move: () => void world.moveServer(server),
+    spoil: () => {
+      world.spoilEntry(server);
+      later(() => world.mendEntry(world.serverOf(server.entry.id) ?? server));
+    },
     add: () => void world.startServer('pay'),
     evacuate: () => {
       const {failureDomain} = server.entry;
