--- a/src/entry/flow-endings.spec.ts
+++ b/src/entry/flow-endings.spec.ts
@@ -120,6 +120,19 @@
   assert.deepEqual(world.broken, []);
 });
 
+test('packets of open flows go where a server is that started again elsewhere', async () => {
+  const world = await createBusyWorld({features: undefined, confirms: false});
+  const callers = await openFlows(world, 60);
+  const moved = world.liveServers('pay').slice(0, 3);
+  const waiting = flowsAt(callers, moved);
+  moved.forEach(server => world.moveServer(server));
+  // Callers whose requests were not confirmed send them again.
+  await world.clock.advance(2_500);
+  assert.ok(waiting.length >= 9, `${waiting.length} flows`);
+  assert.equal(endedOf(waiting).length, waiting.length);
+  assert.deepEqual(world.broken, []);
+});
+
 test('callers at a former life are told though a fifth of the beats between daemons is lost', async () => {
   const world = await createBusyWorld();
   world.network.loss = 0.2;
@@ -239,8 +252,11 @@
   const callers = await openFlows(world, 60, 200);
   const [server] = world.liveServers('pay');
   const kept = flowsAt(callers, [server]);
+  const callsBefore = world.store.calls;
   world.spoilEntry(server);
-  await world.clock.advance(1_000);
+  await world.clock.advance(5_000);
+  const calls = world.store.calls - callsBefore;
+  assert.ok(calls <= 12, `two daemons wait 1.5 s a call: ${calls} calls`);
   // Daemons that read everything anew must not miss it either.
   world.store.forgetHistory();
   const later = await openFlows(world, 60, 200);
--- /dev/null
+++ b/src/entry/paced-queue.spec.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {FakeClock} from '../../standins/fake-clock.js';
+import {PacedQueue} from './paced-queue.js';
+
+/** Plays a queue of packets of one length; bytes sent by each millisecond. */
+async function play(linkMbps: number, packets: number, bytes: number) {
+  const clock = FakeClock.create();
+  const queue = PacedQueue.create(clock, linkMbps);
+  const sentAt: number[] = [];
+  const startedAt = clock.now();
+  queue.add(
+    Array.from({length: packets}, () => () => {
+      sentAt.push(clock.now() - startedAt);
+      return bytes;
+    }),
+  );
+  await clock.advance(60_000);
+  return sentAt;
+}
+
+test('long packets take a tenth of a slow link, all of them in the end', async () => {
+  const sentAt = await play(7, 500, 1_270);
+  assert.equal(sentAt.length, 500);
+  const tookMs = sentAt[sentAt.length - 1];
+  const share = (500 * 1_270 * 8) / (tookMs * 7_000);
+  assert.ok(share < 0.105, `${share}`);
+});
+
+test('nobody gets more than some 800 short packets a second of one daemon', async () => {
+  const sentAt = await play(1_000, 3_000, 68);
+  const inFirst = sentAt.filter(at => at < 1_000).length;
+  assert.ok(inFirst > 600 && inFirst <= 800, `${inFirst}`);
+});
+
+test('a queue that is stopped or empty has no timer left', async () => {
+  const clock = FakeClock.create();
+  const queue = PacedQueue.create(clock, 7);
+  let sent = 0;
+  const send = () => {
+    sent += 1;
+    return 68;
+  };
+  queue.add(Array.from({length: 20}, () => send));
+  queue.stop();
+  await clock.advance(1_000);
+  assert.equal(sent, 8);
+});
