--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -78,7 +78,7 @@
   const {removed, revision, evacuated, whole} = list;
   const confirmedAt = now - list.ageMs;
   const servers = list.servers.map(entry => decodeServer(entry, now));
-  const unreadable = list.unreadable.map(mark => ({...mark, cause: ''}));
+  const unreadable = list.unreadable.map(entry => ({...entry, cause: ''}));
   if (whole) {
     const listing = {revision, servers, unreadable, evacuated};
     catalog.takeServers(listing, confirmedAt);
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -5,11 +5,8 @@
 import type {CatalogReading} from '../ports/catalog-source.js';
 import type {Hasher} from '../ports/hasher.js';
 import {destinationKey} from '../routing/flow-key.js';
-import {
-  KnownServers,
-  type ListingChange,
-  type ServerNews,
-} from './known-servers.js';
+import {KnownServers} from './known-servers.js';
+import type {ListingChange, ServerNews} from './listing-change.js';
 import type {
   CatalogEvents,
   CatalogServer,
@@ -158,11 +155,6 @@
     return this.servers.unreadableEntries();
   }
 
-  /** Whether the list has such entries of ids that nothing else is known of. */
-  get lacksRecords(): boolean {
-    return this.servers.lacksRecords;
-  }
-
   /** Hash over the records of servers whose entries cannot be read; 0: none. */
   get unreadableDigest(): number {
     return this.servers.unreadableDigest;
@@ -203,7 +195,7 @@
 
   /** The cookie that names a server at a route, or undefined if there is none. */
   cookieOf(server: CatalogServer, route: KnownRoute): number | undefined {
-    return this.servers.cookieOf(server, this.maskOf(route));
+    return this.servers.cookies.cookieOf(server, this.maskOf(route));
   }
 
   /**
@@ -217,7 +209,7 @@
    * were 0.977 of all without it and 0.987 with it.
    */
   serverOf(cookie: number, route: KnownRoute): CatalogServer | undefined {
-    const named = this.servers.find(cookie, this.maskOf(route));
+    const named = this.servers.cookies.find(cookie, this.maskOf(route));
     const allowed = named.find(
       ({server}) =>
         server !== undefined && route.allowedServices.has(server.service),
@@ -228,7 +220,7 @@
 
   /** Whether a cookie names any server at a route, of whatever service. */
   hasCookie(cookie: number, route: KnownRoute): boolean {
-    return this.servers.find(cookie, this.maskOf(route)).length > 0;
+    return this.servers.cookies.find(cookie, this.maskOf(route)).length > 0;
   }
 
   /** Whether a server that lives would surely be in the list by now. */
@@ -399,7 +391,7 @@
     if (known !== undefined) {
       return known;
     }
-    const mask = this.servers.maskOf(key);
+    const mask = this.servers.cookies.maskOf(key);
     this.cookieMasks.set(key, mask);
     return mask;
   }
--- a/src/catalog/known-servers.ts
+++ b/src/catalog/known-servers.ts
@@ -3,8 +3,14 @@
  * included: what becomes of each when its entry is written, cannot be read or goes.
  */
 import type {Hasher} from '../ports/hasher.js';
-import {CookieIndex, type CookieOwner} from './cookie-index.js';
+import {CookieIndex} from './cookie-index.js';
 import {Departures} from './departures.js';
+import {
+  changesOfDomains,
+  changesTo,
+  type ListingChange,
+  type ServerNews,
+} from './listing-change.js';
 import type {
   CatalogServer,
   DomainChange,
@@ -23,29 +29,12 @@
   isNamed(service: string): boolean;
 }
 
-/** What a list says otherwise than what is known. */
-export interface ListingChange extends ServerChanges {
-  /** Changes of domains, the newest of each last. */
-  readonly domains: readonly DomainChange[];
-}
-
-/** Servers whose state in the eyes of this daemon a change altered. */
-export interface ServerNews {
-  /** Servers that are new, in another state or life, or can be read again. */
-  readonly changed: readonly CatalogServer[];
-  /** Servers that started again under their id, as they are now. */
-  readonly restarted: readonly CatalogServer[];
-  /** Entries that cannot be read from now on, or were written so again. */
-  readonly unreadable: readonly UnreadableEntry[];
-  /** Servers that left the list. */
-  readonly departed: readonly CatalogServer[];
-}
-
 /** Servers by id, and the cookies that name them. */
 export class KnownServers {
+  /** The cookies of all of them, and where the flows of each go. */
+  readonly cookies: CookieIndex;
   private readonly table: ServerTable;
   private readonly departures: Departures;
-  private readonly cookies: CookieIndex;
   /** Ids of listed servers whose services no version names. */
   private readonly unnamed = new Set<string>();
 
@@ -95,13 +84,6 @@
     return this.table.unreadableEntries();
   }
 
-  /** Whether there are such entries of ids that no record is known of. */
-  get lacksRecords(): boolean {
-    return this.unreadableEntries().some(
-      ({id}) => this.cookies.serverOf(id) === undefined,
-    );
-  }
-
   /** A server that is listed, or left the list not long ago, as flows go to it. */
   serverById(id: string): CatalogServer | undefined {
     return this.cookies.serverOf(id);
@@ -123,21 +105,6 @@
     return this.table.evacuatedDomains();
   }
 
-  /** What tells the cookies of a destination from others'. */
-  maskOf(destination: number): number {
-    return this.cookies.maskOf(destination);
-  }
-
-  /** The cookie that names a server at destinations with a mask, if there is one. */
-  cookieOf(server: CatalogServer, mask: number): number | undefined {
-    return this.cookies.cookieOf(server, mask);
-  }
-
-  /** The servers of a cookie at destinations with a mask, the first one first. */
-  find(cookie: number, mask: number): readonly CookieOwner[] {
-    return this.cookies.find(cookie, mask);
-  }
-
   /** Whether a server has ended for certain. */
   isGone(id: string): boolean {
     return this.table.isSucceeded(id) || this.departures.isGone(id);
@@ -160,25 +127,12 @@
 
   /** What leads to a whole list. */
   changesTo(listing: ServerListing): ListingChange {
-    const {servers, unreadable = [], evacuated, revision} = listing;
-    const present = new Set([...servers, ...unreadable].map(({id}) => id));
-    const absent = this.table.ids().filter(id => !present.has(id));
-    return {
-      written: servers,
-      unreadable,
-      removed: absent.map(id => ({id, revision})),
-      domains: this.changesOfDomainsTo(evacuated),
-    };
+    return changesTo(listing, this.table.ids(), this.evacuatedDomains());
   }
 
   /** What leads the evacuated domains to a list of all of them. */
   changesOfDomainsTo(evacuated: readonly string[]): DomainChange[] {
-    const listed = new Set(evacuated);
-    const restored = this.evacuatedDomains().filter(name => !listed.has(name));
-    return [
-      ...evacuated.map(name => ({failureDomain: name, isEvacuated: true})),
-      ...restored.map(name => ({failureDomain: name, isEvacuated: false})),
-    ];
+    return changesOfDomains(this.evacuatedDomains(), evacuated);
   }
 
   /**
@@ -276,14 +230,14 @@
   /** A server that may live although its entry went is listed again as it was. */
   private takeUnreadable(entry: UnreadableEntry): boolean {
     const {id, revision} = entry;
-    if (!this.table.isLaterMark(entry)) {
+    if (!this.table.isLaterUnreadable(entry)) {
       return false;
     }
     const departed = this.departures.serverById(id);
     if (departed !== undefined && !this.departures.isGone(id)) {
       this.settle({...departed, revision});
     }
-    this.table.mark(entry);
+    this.table.putUnreadable(entry);
     this.cookies.addUnnamed(id);
     return true;
   }
--- a/src/catalog/server-table.ts
+++ b/src/catalog/server-table.ts
@@ -12,11 +12,10 @@
   type RemovedServer,
   type UnreadableEntry,
 } from './records.js';
+import {Removals} from './removals.js';
 
 /** Sets the digest's hashes apart from those of other uses. */
 const DIGEST_SEED = 23;
-/** Removals remembered for peers that pull; older ones cost them the whole list. */
-const MAXIMUM_REMOVALS = 2_000;
 
 /** Servers that changed since a revision. */
 export interface ServerChanges {
@@ -39,10 +38,7 @@
   /** Listed servers that take new flows, for the services that were asked for. */
   private readonly open = new Map<string, readonly CatalogServer[]>();
   private readonly evacuated = new Set<string>();
-  /** Revisions at which entries went, by id, the newest last. */
-  private readonly removals = new Map<string, number>();
-  /** All removals after this revision are remembered. */
-  private removalsSince = 0;
+  private readonly removals = Removals.create();
   /**
    * Exclusive or over the hashes of all listed servers and evacuated domains, as an
    * unsigned number.
@@ -112,12 +108,14 @@
   /** Whether an entry that can be read is later than what is held of its id. */
   isLater({id, revision}: CatalogServer): boolean {
     const known = this.servers.get(id)?.revision ?? -Infinity;
-    return revision > Math.max(known, this.removalOf(id));
+    return revision > Math.max(known, this.removals.revisionOf(id));
   }
 
   /** Whether an entry that cannot be read is later than what is held of its id. */
-  isLaterMark({id, revision}: UnreadableEntry): boolean {
-    return revision > Math.max(this.revisionOf(id), this.removalOf(id));
+  isLaterUnreadable({id, revision}: UnreadableEntry): boolean {
+    return (
+      revision > Math.max(this.revisionOf(id), this.removals.revisionOf(id))
+    );
   }
 
   /**
@@ -126,10 +124,10 @@
    */
   put(server: CatalogServer, isNamed: boolean): void {
     const known = this.servers.get(server.id);
-    const mark = this.unreadable.get(server.id);
+    const unreadable = this.unreadable.get(server.id);
     this.change(server.id, () => {
       this.servers.set(server.id, server);
-      if (mark !== undefined && mark.revision < server.revision) {
+      if (unreadable !== undefined && unreadable.revision < server.revision) {
         this.unreadable.delete(server.id);
       }
     });
@@ -138,7 +136,7 @@
   }
 
   /** Takes a later entry that cannot be read: the server is held as it was. */
-  mark(entry: UnreadableEntry): void {
+  putUnreadable(entry: UnreadableEntry): void {
     this.change(entry.id, () => this.unreadable.set(entry.id, entry));
     this.open.delete(this.servers.get(entry.id)?.service ?? '');
   }
@@ -158,7 +156,7 @@
       this.unreadable.delete(id);
     });
     this.addresses.forget(id);
-    this.rememberRemoval({id, revision});
+    this.removals.note({id, revision});
     return isKnown;
   }
 
@@ -189,7 +187,7 @@
 
   /** Notes that the table is complete as of a revision, and not before. */
   startAt(revision: number): void {
-    this.removalsSince = revision;
+    this.removals.startAt(revision);
   }
 
   /** Listed servers of a service that take new flows. */
@@ -212,17 +210,16 @@
 
   /** Changes after a revision; undefined when only the whole list tells them. */
   changesSince(revision: number): ServerChanges | undefined {
-    if (revision < this.removalsSince) {
-      return undefined;
-    }
-    const isLater = (entry: RemovedServer) => entry.revision > revision;
-    return {
-      written: this.all().filter(({id}) => this.revisionOf(id) > revision),
-      unreadable: this.unreadableEntries().filter(isLater),
-      removed: [...this.removals]
-        .map(([id, at]) => ({id, revision: at}))
-        .filter(isLater),
-    };
+    const removed = this.removals.after(revision);
+    return removed === undefined
+      ? undefined
+      : {
+          written: this.all().filter(({id}) => this.revisionOf(id) > revision),
+          unreadable: this.unreadableEntries().filter(
+            entry => entry.revision > revision,
+          ),
+          removed,
+        };
   }
 
   /**
@@ -260,23 +257,6 @@
     );
   }
 
-  private removalOf(id: string): number {
-    return this.removals.get(id) ?? -Infinity;
-  }
-
-  /** Drops the older half of the removals when there are too many. */
-  private rememberRemoval({id, revision}: RemovedServer): void {
-    const newest = Math.max(revision, this.removalOf(id));
-    this.removals.delete(id);
-    this.removals.set(id, newest);
-    if (this.removals.size > MAXIMUM_REMOVALS) {
-      const dropped = [...this.removals].slice(0, MAXIMUM_REMOVALS / 2);
-      dropped.forEach(([old]) => this.removals.delete(old));
-      const upTo = dropped.map(([, at]) => at);
-      this.removalsSince = Math.max(this.removalsSince, ...upTo);
-    }
-  }
-
   /** Changes what is held of an id, and the digest with it. */
   private change(id: string, change: () => void): void {
     this.toggleInDigest(id);
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -5,7 +5,6 @@
 import {Catalog, type CatalogChange} from '../catalog/catalog.js';
 import {ReadTurns} from '../catalog/read-turns.js';
 import {CatalogReader} from '../catalog/reader.js';
-import type {CatalogServer} from '../catalog/records.js';
 import {CatalogSpread} from '../catalog/spread.js';
 import {EqualRatings} from '../feedback/server-ratings.js';
 import type {PeerAge} from '../generated/catalog.js';
@@ -19,7 +18,7 @@
 import type {Log, LogFields} from '../ports/log.js';
 import type {ServerContact} from '../ports/server-contact.js';
 import {ServerReachability} from '../reachability/server-reachability.js';
-import {CookieRouter, RefusalReason} from '../routing/cookie-router.js';
+import {CookieRouter} from '../routing/cookie-router.js';
 import {formatIpv4} from '../routing/ipv4.js';
 import {OwnWorkPlacement, type Placement} from '../routing/placement.js';
 import type {Random} from '../routing/random.js';
@@ -251,25 +250,22 @@
       vote: (daemon, server, result) =>
         this.spread.vote(daemon, server, result),
       announce: () => this.spread.announce(),
-      onUnreachable: server => this.noteUnreachable(server),
+      onUnreachable: server => void this.endings.noteUnreachable(server),
     });
   }
 
   private createEndings(): FlowEndings {
-    const {settings, fabric, clock, log, counters} = this.options;
-    const {catalog, router, work} = this;
+    const {settings} = this.options;
+    const {catalog, router, work, packets, reach} = this;
     return FlowEndings.create({
+      ...this.options,
       isOn: settings.features.feedback,
+      linkMbps: settings.linkMbps,
       catalog,
       router,
       work,
-      fabric,
-      clock,
-      log,
-      counters,
-      linkMbps: settings.linkMbps,
-      isUnreachable: id => this.reach.isUnreachable(id),
-      isLost: server => this.reach.isLost(server),
+      packets,
+      reach,
     });
   }
 
@@ -331,25 +327,11 @@
     this.spread.announce();
   }
 
-  private noteUnreachable(server: CatalogServer): void {
-    this.packets.resetWaiting(server);
-    void this.endings.noteUnreachable(server);
-  }
-
-  private noteEnded(server: CatalogServer): void {
-    const {feedback} = this.options.settings.features;
-    if (feedback && this.router.isCurrent()) {
-      this.packets.resetWaiting(server, RefusalReason.SERVER_GONE);
-    }
-    this.endings.noteEnded(server);
-  }
-
   /** Logs a change; the work of departed servers is forgotten. */
   private noteChange(change: CatalogChange): void {
     logChange(this.options.log, change, this.versions());
     this.reach.noteListing(change);
-    change.restarted.forEach(server => this.endings.noteRestarted(server));
-    change.ended.forEach(server => this.noteEnded(server));
+    this.endings.noteChange(change);
     if (change.departed.length > 0) {
       this.work.retain(this.catalog.allServers().map(({id}) => id));
     }
--- a/src/entry/flow-endings.ts
+++ b/src/entry/flow-endings.ts
@@ -11,16 +11,18 @@
  * that have ended, or that several daemons cannot reach, are reset here while no request
  * is under way on them.
  */
-import type {Catalog} from '../catalog/catalog.js';
+import type {Catalog, CatalogChange} from '../catalog/catalog.js';
 import type {CatalogServer} from '../catalog/records.js';
 import type {Clock} from '../ports/clock.js';
 import type {CookieFabric} from '../ports/cookie-fabric.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import type {Log} from '../ports/log.js';
+import type {ServerReachability} from '../reachability/server-reachability.js';
 import {RefusalReason, type CookieRouter} from '../routing/cookie-router.js';
 import type {SeenFlow} from '../routing/seen-flows.js';
 import type {ServerWorkLedger} from '../routing/server-work.js';
 import {flowOf} from './log-lines.js';
+import type {PacketTask} from './packet-task.js';
 import {PacedQueue, type Sending} from './paced-queue.js';
 
 /**
@@ -40,16 +42,14 @@
   readonly catalog: Catalog;
   readonly router: CookieRouter;
   readonly work: ServerWorkLedger;
+  readonly packets: PacketTask;
+  readonly reach: ServerReachability;
   readonly fabric: CookieFabric;
   readonly clock: Clock;
   readonly log: Log;
   readonly counters: Counters;
   /** What the link carries, in megabits a second. */
   readonly linkMbps: number;
-  /** Whether several daemons cannot reach a server. */
-  isUnreachable(server: string): boolean;
-  /** The same once this daemon has tried as well. */
-  isLost(server: CatalogServer): Promise<boolean>;
 }
 
 /** The flows that one daemon ends early. */
@@ -70,8 +70,27 @@
     this.queue.stop();
   }
 
+  /** Takes a change of the catalog. */
+  noteChange({restarted, ended}: CatalogChange): void {
+    restarted.forEach(server => this.noteRestarted(server));
+    ended.forEach(server => this.noteEnded(server));
+  }
+
+  /**
+   * Callers that wait for a server that several daemons cannot reach come again elsewhere
+   * if their requests may be repeated; idle flows there end once this daemon has tried it
+   * as well.
+   */
+  async noteUnreachable(server: CatalogServer): Promise<void> {
+    this.options.packets.resetWaiting(server);
+    const hasIdle = this.idleAt(server).length > 0;
+    if (hasIdle && (await this.options.reach.isLost(server))) {
+      this.resetIdle(server);
+    }
+  }
+
   /** What was under way at a server's former life is void, and its flows end there. */
-  noteRestarted(server: CatalogServer): void {
+  private noteRestarted(server: CatalogServer): void {
     const {router, work, clock, log} = this.options;
     const flows = router.flows
       .renew(server)
@@ -87,16 +106,18 @@
     }
   }
 
-  /** Ends idle flows of a server whose end is certain. */
-  noteEnded(server: CatalogServer): void {
-    this.queue.add(this.idleAt(server).map(flow => this.resetOf(flow, server)));
+  /** A server has ended for certain: whoever waits for it waits in vain. */
+  private noteEnded(server: CatalogServer): void {
+    const {isOn, packets, router} = this.options;
+    if (isOn && router.isCurrent()) {
+      packets.resetWaiting(server, RefusalReason.SERVER_GONE);
+      this.resetIdle(server);
+    }
   }
 
-  /** Ends idle flows of a server that this daemon cannot reach, and several others. */
-  async noteUnreachable(server: CatalogServer): Promise<void> {
-    if (this.idleAt(server).length > 0 && (await this.options.isLost(server))) {
-      this.noteEnded(server);
-    }
+  private resetIdle(server: CatalogServer): void {
+    const idle = this.idleAt(server);
+    this.queue.add(idle.map(flow => this.resetOf(flow, server)));
   }
 
   private idleAt({id}: CatalogServer): SeenFlow[] {
@@ -113,7 +134,7 @@
     const {catalog} = this.options;
     const {id, startTime} = server;
     const isThisLife = catalog.serverById(id)?.startTime === startTime;
-    if (isThisLife && !this.options.isUnreachable(id)) {
+    if (isThisLife && !this.options.reach.isUnreachable(id)) {
       this.queue.add(flows.map(flow => this.repeatOf(flow, server, since)));
     }
   }
@@ -161,7 +182,7 @@
     if (catalog.isGone(server) && router.isCurrent()) {
       return RefusalReason.SERVER_GONE;
     }
-    return this.options.isUnreachable(server.id)
+    return this.options.reach.isUnreachable(server.id)
       ? RefusalReason.SERVER_UNREACHABLE
       : undefined;
   }
--- a/src/entry/log-lines.ts
+++ b/src/entry/log-lines.ts
@@ -52,7 +52,11 @@
     );
   }
   change.unreadable.forEach(({id, revision, cause}) =>
-    log.info('server-entry-unreadable', {server: id, revision, cause}),
+    log.info('server-entry-unreadable', {
+      server: id,
+      revision,
+      cause: cause === '' ? 'a peer says so' : cause,
+    }),
   );
   change.departed.forEach(({id, service}) =>
     log.info('server-departed', {server: id, service}),
--- a/src/entry/paced-queue.ts
+++ b/src/entry/paced-queue.ts
@@ -17,6 +17,7 @@
 /** The packets that one daemon is to send of its own accord. */
 export class PacedQueue {
   private waiting: Sending[] = [];
+  private isStopped = false;
   private timer: Timer | undefined;
 
   private constructor(
@@ -33,14 +34,14 @@
   /** Sends packets as soon as their turn comes. */
   add(sendings: readonly Sending[]): void {
     this.waiting.push(...sendings);
-    if (this.timer === undefined) {
+    if (this.timer === undefined && !this.isStopped) {
       this.sendBatch();
     }
   }
 
   /** Sends nothing more. */
   stop(): void {
-    this.waiting = [];
+    this.isStopped = true;
     this.timer?.cancel();
   }
 
--- a/src/reachability/server-reachability.ts
+++ b/src/reachability/server-reachability.ts
@@ -14,7 +14,7 @@
  * connections of two daemons have to be lost besides the packet. One that is cut off is
  * found unreachable as long as it is.
  */
-import type {ServerNews} from '../catalog/known-servers.js';
+import type {ServerNews} from '../catalog/listing-change.js';
 import type {CatalogServer} from '../catalog/records.js';
 import type {PeerView} from '../membership/peer-view.js';
 import type {PeerDaemon} from '../membership/peer-daemon.js';
--- a/src/routing/seen-flows.ts
+++ b/src/routing/seen-flows.ts
@@ -112,7 +112,10 @@
         now - flow.seenAt <= LONGEST_REPEAT_MS &&
         isWanted(flow.caller),
     );
-    waiting.forEach(flow => this.finish(flow));
+    waiting.forEach(flow => {
+      this.finish(flow);
+      flow.hasEnded = true;
+    });
     waiting.forEach(({caller}) => this.options.watch?.drop(keyOf(caller)));
     return waiting.map(({caller}) => caller);
   }
@@ -285,6 +288,7 @@
   private forget(key: string, flow: SeenFlow): void {
     this.options.packets?.release(flow.kept);
     flow.kept = undefined;
+    flow.hasEnded = true;
     this.flows.delete(key);
   }
 
