--- a/src/catalog/cookie-index.ts
+++ b/src/catalog/cookie-index.ts
@@ -57,7 +57,7 @@
   }
 
   /** Takes an id of which no record is known; a known one changes nothing. */
-  addUnnamed(id: string): void {
+  addId(id: string): void {
     if (!this.hashes.has(id)) {
       this.place({id, createdRevision: Infinity, server: undefined});
     }
--- a/src/catalog/departures.ts
+++ b/src/catalog/departures.ts
@@ -47,7 +47,7 @@
    * Ids of entries that went and were never readable here, and when they may be
    * forgotten; monotonic milliseconds.
    */
-  private readonly unnamed = new Map<string, number>();
+  private readonly ids = new Map<string, number>();
   /** Servers whose end became certain and that were not asked for yet. */
   private newlyGone: CatalogServer[] = [];
   /** What `lapsed` answers; undefined once a departure may have changed. */
@@ -115,15 +115,15 @@
   }
 
   /** Records that the entry of a server went of which no record is known. */
-  addUnnamed(id: string, at: number): void {
-    this.unnamed.set(id, at + this.flowLifetimeMs);
+  addId(id: string, at: number): void {
+    this.ids.set(id, at + this.flowLifetimeMs);
   }
 
   /** Takes a server back that is in the list again. */
   remove(id: string): void {
     this.lapsedNow = undefined;
     this.departures.delete(id);
-    this.unnamed.delete(id);
+    this.ids.delete(id);
   }
 
   /** Marks servers whose address a later server has taken: they have ended. */
@@ -180,14 +180,14 @@
       ...[...this.departures].map(
         ([id, {forgetAt}]) => [id, forgetAt] as const,
       ),
-      ...this.unnamed,
+      ...this.ids,
     ];
     const old = forgetTimes
       .filter(([, forgetAt]) => forgetAt <= at)
       .map(([id]) => id);
     old.forEach(id => {
       this.departures.delete(id);
-      this.unnamed.delete(id);
+      this.ids.delete(id);
     });
     return old;
   }
--- a/src/catalog/known-servers.ts
+++ b/src/catalog/known-servers.ts
@@ -36,7 +36,7 @@
   private readonly table: ServerTable;
   private readonly departures: Departures;
   /** Ids of listed servers whose services no version names. */
-  private readonly unnamed = new Set<string>();
+  private readonly ofUnnamedServices = new Set<string>();
 
   private constructor(private readonly options: KnownServersOptions) {
     this.table = ServerTable.create(options.hasher);
@@ -112,7 +112,12 @@
 
   /** Servers whose end became certain since this was asked last. */
   takeEnded(): CatalogServer[] {
-    return [...this.table.takeSucceeded(), ...this.departures.takeGone()];
+    const ended = [
+      ...this.table.takeSucceeded(),
+      ...this.departures.takeGone(),
+    ];
+    // One may be back by the very change that made its end seem certain.
+    return ended.filter(({id}) => this.isGone(id));
   }
 
   /** Changes of the list after a revision, if they are still known. */
@@ -167,7 +172,7 @@
 
   /** A newer version may name services of servers that are listed. */
   noteServices(): void {
-    [...this.unnamed]
+    [...this.ofUnnamedServices]
       .flatMap(id => this.table.get(id) ?? [])
       .filter(({service}) => this.options.isNamed(service))
       .forEach(server => this.settle(server));
@@ -215,9 +220,9 @@
     this.departures.remove(id);
     this.table.put(server, isNamed);
     if (isNamed) {
-      this.unnamed.delete(id);
+      this.ofUnnamedServices.delete(id);
     } else {
-      this.unnamed.add(id);
+      this.ofUnnamedServices.add(id);
     }
     if (isNamed && hasCome) {
       this.departures.supersede(address, port);
@@ -238,7 +243,7 @@
       this.settle({...departed, revision});
     }
     this.table.putUnreadable(entry);
-    this.cookies.addUnnamed(id);
+    this.cookies.addId(id);
     return true;
   }
 
@@ -251,10 +256,10 @@
     if (!isRemoved) {
       return [];
     }
-    this.unnamed.delete(id);
+    this.ofUnnamedServices.delete(id);
     const server = this.serverById(id);
     if (server === undefined || !isListed) {
-      this.departures.addUnnamed(id, at);
+      this.departures.addId(id, at);
       return [];
     }
     this.departures.add(server, at);
--- a/src/catalog/server-lives.spec.ts
+++ b/src/catalog/server-lives.spec.ts
@@ -428,6 +428,24 @@
   assert.equal(catalog.serverById('i-1')?.address, 8);
 });
 
+test('no end is told of a server that is back by the change that comes after its grace', () => {
+  const catalog = createCatalog();
+  const drained = entryOf('i-1', 1, {state: 'draining'});
+  catalog.takeServers(listOf(1, [drained]), 0);
+  catalog.takeServers(listOf(2, []), 100);
+  Array.from({length: 5}, (_read, index) =>
+    catalog.confirmAll(600 + index * 500),
+  );
+  const changes = changesOf(catalog);
+  const reborn = entryOf('i-1', 3, {startTime: 70});
+  catalog.takeServers(listOf(3, [reborn]), 3_000);
+  assert.deepEqual(
+    changes.flatMap(({ended}) => ended),
+    [],
+  );
+  assert.equal(catalog.isGone(reborn), false);
+});
+
 test('ends are told once they are certain: by a later server, and by time', () => {
   const catalog = createCatalog();
   const [first, second] = [entryOf('i-1', 1), entryOf('i-2', 1)];
