--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -5,7 +5,7 @@
 export interface EntryFeatures {
   /**
    * What servers say of their health may mislead: callers' packets decide beside it who
-   * gets new flows, and how many.
+   * gets new flows, and how many. Flows that can come to nothing are ended early.
    */
   readonly feedback: boolean;
   /** Callers may compete for room: requests are paced by urgency while there is too little. */
