--- a/src/catalog/copy-exchange.ts
+++ b/src/catalog/copy-exchange.ts
@@ -44,8 +44,8 @@
   private readonly pulls = new Set<number>();
   /** When records may be asked for again; monotonic milliseconds. */
   private recordsDueAt = -Infinity;
-  /** What daemons told of their records from whom nothing was gained. */
-  private readonly fruitless = new Set<number>();
+  /** What was held and what was told when nothing was gained by asking for records. */
+  private fruitless: readonly [held: number, told: number] | undefined;
 
   private constructor(private readonly options: CopyExchangeOptions) {
     this.giver = CopyGiver.create(options.linkMbps);
@@ -110,31 +110,33 @@
   async pullRecords(sender: number, beat: Beat): Promise<void> {
     const {catalog, clock} = this.options;
     const told = beat.unreadableDigest;
+    const held = catalog.unreadableDigest;
     const isOther =
       told !== 0 &&
-      told !== catalog.unreadableDigest &&
+      told !== held &&
       beat.serverDigest === catalog.stamp.serverDigest;
-    if (!isOther || this.fruitless.has(told)) {
-      return;
-    }
+    const wasInVain =
+      this.fruitless?.[0] === held && this.fruitless[1] === told;
     const now = clock.now();
-    if (now >= this.recordsDueAt) {
+    if (isOther && !wasInVain && now >= this.recordsDueAt) {
       this.recordsDueAt = now + RECORDS_GAP_MS;
-      await this.whilePulling(sender, () => this.pullForRecords(sender, told));
+      await this.whilePulling(sender, () => this.askForRecords(sender, told));
     }
   }
 
-  /** Asks for everything, as a daemon does that holds nothing. */
-  private async pullForRecords(sender: number, told: number): Promise<void> {
+  /** Asks for everything, as a daemon does that holds nothing; it may be referred on. */
+  private async askForRecords(sender: number, told: number): Promise<void> {
     const {catalog, clock} = this.options;
     const before = catalog.unreadableDigest;
     const held = {...this.held(true), serverDigest: 0};
     const deadline = clock.now() + PULL_LIMIT_MS;
     const update = await this.options.channel.pull(sender, held, deadline);
-    update.map(copy => this.take(copy));
-    if (update.isOk() && catalog.unreadableDigest === before) {
-      this.fruitless.clear();
-      this.fruitless.add(told);
+    if (update.isErr() || update.value.other !== 0) {
+      return;
+    }
+    this.take(update.value);
+    if (catalog.unreadableDigest === before) {
+      this.fruitless = [before, told];
     }
   }
 
