--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -114,13 +114,15 @@
 }
 
 function applyServers(catalog: Catalog, list: ServerList, now: number): void {
+  const {removed, revision, evacuated, whole} = list;
   const confirmedAt = now - list.ageMs;
   const listing = decodeListing(list, now);
-  if (list.whole) {
+  if (whole) {
     catalog.takeServers(listing, confirmedAt);
   } else {
-    const changes = {written: listing.servers, removed: list.removed};
-    catalog.takeServerChanges(changes, list, confirmedAt);
+    const {servers: written, unreadable} = listing;
+    const changes = {written, unreadable, removed};
+    catalog.takeServerChanges(changes, {revision, evacuated}, confirmedAt);
   }
 }
 
@@ -131,15 +133,16 @@
 function decodeListing(list: ServerList, now: number): ServerListing {
   const {revision, evacuated} = list;
   const servers = list.servers.map(entry => decodeServer(entry, now));
-  return {revision, servers, evacuated};
+  const unreadable = list.unreadable.map(entry => ({...entry, cause: ''}));
+  return {revision, servers, unreadable, evacuated};
 }
 
-function decodeRoutes({
-  version,
-  routes,
-  coldServices,
-}: RouteList): RouteListing {
-  return {version, routes: routes.map(decodeRoute), coldServices};
+function decodeRoutes(list: RouteList): RouteListing {
+  const {version, coldServices} = list;
+  const routes = list.routes.map(decodeRoute);
+  // A configuration names some service, so none means that they were not told.
+  const services = list.services.length === 0 ? undefined : list.services;
+  return {version, routes, coldServices, services};
 }
 
 function encodeRoutes(catalog: Catalog, now: number): RouteList {
@@ -149,6 +152,7 @@
     ageMs: ageOf(routesConfirmedAt, now),
     routes: catalog.allRoutes().map(encodeRoute),
     coldServices: [...catalog.coldServices()],
+    services: [...(catalog.serviceNames() ?? [])],
   };
 }
 
@@ -193,6 +197,7 @@
   const {serverRevision, serversConfirmedAt} = catalog.stamp;
   const changes = since === 0 ? undefined : catalog.serverChangesSince(since);
   const servers = changes?.written ?? catalog.allServers();
+  const unreadable = changes?.unreadable ?? catalog.unreadableEntries();
   return {
     revision: serverRevision,
     ageMs: ageOf(serversConfirmedAt, now),
@@ -200,13 +205,14 @@
     whole: changes === undefined,
     removed: [...(changes?.removed ?? [])],
     evacuated: catalog.evacuatedDomains(),
+    unreadable: unreadable.map(({id, revision: at}) => ({id, revision: at})),
   };
 }
 
 /** The state is sent as a flag and the deadline as the time that is left. */
 function encodeServer(server: CatalogServer, now: number): ServerEntry {
   const {id, service, address, port, failureDomain, slots} = server;
-  const {createdRevision, revision} = server;
+  const {createdRevision, revision, startTime} = server;
   return {
     id,
     service,
@@ -218,6 +224,7 @@
     coldMs: spanBetween(now, server.coldUntil),
     createdRevision,
     revision,
+    startTime,
   };
 }
 
@@ -227,7 +234,7 @@
  */
 function decodeServer(entry: ServerEntry, now: number): CatalogServer {
   const {id, service, address, port, failureDomain, slots} = entry;
-  const {createdRevision, revision} = entry;
+  const {createdRevision, revision, startTime} = entry;
   return {
     id,
     service,
@@ -239,5 +246,6 @@
     coldUntil: now + entry.coldMs,
     createdRevision,
     revision,
+    startTime,
   };
 }
--- a/src/catalog/copy-exchange.ts
+++ b/src/catalog/copy-exchange.ts
@@ -19,6 +19,8 @@
 const MAXIMUM_HOPS = 6;
 /** Longest wait until a daemon that was named has its copy, in milliseconds. */
 const LONGEST_WAIT_MS = 300;
+/** Time between two pulls of records of servers with unreadable entries, in milliseconds. */
+const RECORDS_GAP_MS = 1_000;
 
 /** What an exchange is made from. */
 export interface CopyExchangeOptions {
@@ -40,6 +42,10 @@
   private readonly giver: CopyGiver;
   /** Addresses of the peers that are being asked. */
   private readonly pulls = new Set<number>();
+  /** When records may be asked for again; monotonic milliseconds. */
+  private recordsDueAt = -Infinity;
+  /** What was held and what was told when nothing was gained by asking for records. */
+  private fruitless: readonly [held: number, told: number] | undefined;
 
   private constructor(private readonly options: CopyExchangeOptions) {
     this.giver = CopyGiver.create(options.linkMbps);
@@ -97,6 +103,43 @@
     });
   }
 
+  /**
+   * Pulls records of servers whose entries cannot be read from a daemon that holds the
+   * same entries, and other records.
+   */
+  async pullRecords(sender: number, beat: Beat): Promise<void> {
+    const {catalog, clock} = this.options;
+    const told = beat.unreadableDigest;
+    const held = catalog.unreadableDigest;
+    const isOther =
+      told !== 0 &&
+      told !== held &&
+      beat.serverDigest === catalog.stamp.serverDigest;
+    const wasInVain =
+      this.fruitless?.[0] === held && this.fruitless[1] === told;
+    const now = clock.now();
+    if (isOther && !wasInVain && now >= this.recordsDueAt) {
+      this.recordsDueAt = now + RECORDS_GAP_MS;
+      await this.whilePulling(sender, () => this.askForRecords(sender, told));
+    }
+  }
+
+  /** Asks for everything, as a daemon does that holds nothing; it may be referred on. */
+  private async askForRecords(sender: number, told: number): Promise<void> {
+    const {catalog, clock} = this.options;
+    const before = catalog.unreadableDigest;
+    const held = {...this.held(true), serverDigest: 0};
+    const deadline = clock.now() + PULL_LIMIT_MS;
+    const update = await this.options.channel.pull(sender, held, deadline);
+    if (update.isErr() || update.value.other !== 0) {
+      return;
+    }
+    this.take(update.value);
+    if (catalog.unreadableDigest === before) {
+      this.fruitless = [before, told];
+    }
+  }
+
   /** Pulls a first copy from a daemon that is said to have one. */
   async pullFirst(giver: number): Promise<void> {
     await this.whilePulling(giver, async () => {
--- a/src/catalog/copy-keeper.spec.ts
+++ b/src/catalog/copy-keeper.spec.ts
@@ -34,7 +34,7 @@
       {
         revision,
         servers: Array.from({length: count}, (_server, index) =>
-          createServer(`i-${index + 1}`, 'pay'),
+          createServer(`i-${index + 1}`, 'pay', {revision}),
         ),
         evacuated: ['a'],
       },
--- a/src/catalog/reader.ts
+++ b/src/catalog/reader.ts
@@ -335,10 +335,10 @@
 
   private takeAll(reading: CatalogReading, sentAt: number): undefined {
     const {catalog} = this.options;
-    catalog.takeServers(reading.servers, sentAt);
     if (reading.routes !== undefined) {
       catalog.takeRoutes(reading.routes, sentAt);
     }
+    catalog.takeServers(reading.servers, sentAt);
     this.needsWhole = false;
   }
 
@@ -349,12 +349,12 @@
    */
   private takeEvents(events: CatalogEvents, sentAt: number): undefined {
     const {catalog, clock} = this.options;
-    const {routes, written, removed, domains, keptRevision} = events;
+    const {routes, written, unreadable = [], removed, domains} = events;
     const isEmpty =
       routes === undefined &&
-      keptRevision === undefined &&
-      written.length + removed.length + domains.length === 0;
-    this.keeper.noteWritten(keptRevision ?? 0);
+      events.keptRevision === undefined &&
+      [written, unreadable, removed, domains].every(({length}) => length === 0);
+    this.keeper.noteWritten(events.keptRevision ?? 0);
     if (isEmpty) {
       catalog.confirmAll(sentAt);
     } else {
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -23,6 +23,7 @@
 import {OwnWorkPlacement, type Placement} from '../routing/placement.js';
 import type {Random} from '../routing/random.js';
 import {ServerWorkLedger} from '../routing/server-work.js';
+import {FlowEndings} from './flow-endings.js';
 import {logChange, sinceStart, versionsOf} from './log-lines.js';
 import {PacketTask} from './packet-task.js';
 import {PlannedStop} from './planned-stop.js';
@@ -56,6 +57,7 @@
   private readonly reach: ServerReachability;
   private readonly reader: CatalogReader;
   private readonly packets: PacketTask;
+  private readonly endings: FlowEndings;
   private readonly stops: Array<() => void> = [];
   private seeds: readonly number[];
   private isLeaving = false;
@@ -73,6 +75,7 @@
     this.packets = this.createPackets();
     this.turns = this.createTurns();
     this.reach = this.createReachability();
+    this.endings = this.createEndings();
     this.spread = this.createSpread();
     this.reader = this.createReader();
   }
@@ -163,6 +166,7 @@
     this.spread.announce();
     await stop.awaitQuiet();
     this.reach.stop();
+    this.endings.stop();
     this.stops.forEach(end => end());
     this.options.fabric.close();
     log.warn('stopped', {
@@ -202,6 +206,7 @@
       countDaemons: () => this.peers.countDaemons(clock.now()),
       ratings: EqualRatings.create(),
       observer: undefined,
+      keepsPackets: settings.features.feedback,
     });
   }
 
@@ -247,7 +252,22 @@
       vote: (daemon, server, result) =>
         this.spread.vote(daemon, server, result),
       announce: () => this.spread.announce(),
-      onUnreachable: server => this.packets.resetWaiting(server),
+      onUnreachable: server => void this.endings.noteUnreachable(server),
+    });
+  }
+
+  private createEndings(): FlowEndings {
+    const {settings} = this.options;
+    const {catalog, router, work, packets, reach} = this;
+    return FlowEndings.create({
+      ...this.options,
+      isOn: settings.features.feedback,
+      linkMbps: settings.linkMbps,
+      catalog,
+      router,
+      work,
+      packets,
+      reach,
     });
   }
 
@@ -312,7 +332,8 @@
   /** Logs a change; the work of departed servers is forgotten. */
   private noteChange(change: CatalogChange): void {
     logChange(this.options.log, change, this.versions());
-    this.reach.noteListing(change.changed, change.departed);
+    this.reach.noteListing(change);
+    this.endings.noteChange(change);
     if (change.departed.length > 0) {
       this.work.retain(this.catalog.allServers().map(({id}) => id));
     }
--- a/standins/cookie-world.ts
+++ b/standins/cookie-world.ts
@@ -24,7 +24,7 @@
 } from './catalog-store.js';
 import {CookieCallerFleet} from './cookie-caller-fleet.js';
 import {CallEnd, flowName, type CookieCaller} from './cookie-callers.js';
-import {CookieServerFleet} from './cookie-server-fleet.js';
+import {CookieServerFleet, type ServerWorkPlan} from './cookie-server-fleet.js';
 import type {CookieServer, ServerPacket} from './cookie-servers.js';
 import {FakeClock, ProcessClock} from './fake-clock.js';
 import {ChannelNetwork, MemoryChannel} from './memory-channel.js';
@@ -48,6 +48,7 @@
 const CHECK_MS = 500;
 const FIRST_DAEMON_ADDRESS = 0x0a000001;
 const FIRST_SERVER_ADDRESS = 0x0a800001;
+const FIRST_FREE_ADDRESS = 0x0a900001;
 const FIRST_CALLER_ADDRESS = 0x64400001;
 const CALLER_ADDRESSES = 50;
 const SERVER_PORT = 8_080;
@@ -55,6 +56,9 @@
 /** What cold servers take, as on the users' platform. */
 export const COLD_LIMITS: ColdLimits = {excess: 1.5, slack: 5};
 
+/** What the clocks of servers' hosts say at starts, in turn; Unix milliseconds. */
+const RESTART_TIMES: readonly number[] = [1_800_000_000_000, 1_700_000_000_000];
+
 const NO_FEATURES: EntryFeatures = {feedback: false, pressure: false};
 
 /** How the world is laid out. */
@@ -77,6 +81,8 @@
   /** Megabits a second of the store's link, and of daemons' in turn; any if undefined. */
   readonly storeLinkMbps?: number;
   readonly linksMbps?: readonly number[];
+  /** Whether servers confirm requests before they answer them; undefined: no. */
+  readonly confirms?: boolean;
   /** How daemons place; the usual way if undefined. */
   readonly placement?: Placement;
   /** What the deployment asks for; nothing if undefined. */
@@ -116,6 +122,7 @@
   private readonly callers: CookieCallerFleet;
   private routes: RouteListing = {version: 0, routes: [], coldServices: []};
   private serverCount = 0;
+  private restarts = 0;
 
   private constructor(
     private readonly plan: WorldPlan,
@@ -216,11 +223,49 @@
         failureDomain: this.domainOf(this.serverCount),
         slots: plan?.slots ?? 1,
         coldUntil: this.clock.now(),
+        startTime: 0,
       },
-      {workMs: plan?.workMs ?? 1, queueLength: QUEUE_LENGTH},
+      this.workOf(service),
+    );
+  }
+
+  /** Has a server start again under its id, elsewhere if told. */
+  restartServer(server: CookieServer, address?: number): CookieServer {
+    const {entry} = server;
+    this.restarts += 1;
+    // Any other number is another life: the clocks of hosts jump.
+    const startTime = RESTART_TIMES[this.restarts % RESTART_TIMES.length];
+    return this.servers.restart(
+      server,
+      {startTime: startTime + this.restarts, address: address ?? entry.address},
+      this.workOf(entry.service),
     );
   }
 
+  /** The same at an address where nobody was. */
+  moveServer(server: CookieServer): CookieServer {
+    return this.restartServer(server, FIRST_FREE_ADDRESS + this.restarts);
+  }
+
+  /** Has another writer write over a server's entry. */
+  spoilEntry(server: CookieServer): void {
+    this.store.spoilServer(server.entry.id);
+  }
+
+  /** Has a server write its entry again, if it lives. */
+  mendEntry({entry, state, hasCrashed}: CookieServer): void {
+    if (!hasCrashed) {
+      this.store.putServer({...entry, state});
+    }
+  }
+
+  private workOf(service: string): ServerWorkPlan {
+    const plan = this.plan.services.find(({name}) => name === service);
+    const {confirms} = this.plan;
+    const workMs = plan?.workMs ?? 1;
+    return {workMs, queueLength: QUEUE_LENGTH, confirms};
+  }
+
   /** A server by id, whether it runs or not. */
   serverOf(id: string): CookieServer | undefined {
     return this.servers.find(id);
@@ -325,9 +370,14 @@
     return daemon;
   }
 
-  /** Starts a caller with some requests on one flow. */
-  call(route: CatalogRoute, requests: number, limitMs: number): CookieCaller {
-    return this.callers.start(route, requests, limitMs);
+  /** Starts a caller with some requests on one flow, and pauses between them. */
+  call(
+    route: CatalogRoute,
+    requests: number,
+    limitMs: number,
+    pauseMs = 0,
+  ): CookieCaller {
+    return this.callers.start(route, requests, limitMs, pauseMs);
   }
 
   /** Hands a daemon's packet over to the server that it means. */
