Interfaces of the parts: evidence pooled in heartbeats, build of the sender

Heartbeats carry two new fields, which daemons of earlier builds skip; both are empty until the parts fill them. Ratings take the server's record, since servers are compared within their service. No behaviour changed.

--- a/src/adapters/network-fleet-channel.spec.ts
+++ b/src/adapters/network-fleet-channel.spec.ts
@@ -28,6 +28,8 @@
   reachVotes: [],
   reachNews: [],
   unreadableDigest: 0,
+  evidence: [],
+  build: '',
 };
 
 function createFleet(address: number) {
--- a/src/catalog/catalog-gossip.ts
+++ b/src/catalog/catalog-gossip.ts
@@ -308,6 +308,8 @@
           startTime,
         })),
       unreadableDigest: catalog.unreadableDigest,
+      evidence: [],
+      build: '',
     };
   }
 
--- a/src/feedback/server-ratings.ts
+++ b/src/feedback/server-ratings.ts
@@ -2,6 +2,7 @@
  * Ratings of backend servers by their performance relative to others of their service:
  * a weight for new flows, and outlier ejection. Used by `ServerSelector`.
  */
+import type {CatalogServer} from '../catalog/records.js';
 
 /** The rating of one server. */
 export interface ServerRating {
@@ -20,7 +21,7 @@
 /** Provides the ratings of all servers. */
 export abstract class ServerRatings {
   /** Returns the rating of a server; `now` is monotonic milliseconds. */
-  abstract ratingOf(server: string, now: number): ServerRating;
+  abstract ratingOf(server: CatalogServer, now: number): ServerRating;
 }
 
 /** Rates all servers equally; used by daemons without performance feedback. */
--- a/src/routing/server-selector.ts
+++ b/src/routing/server-selector.ts
@@ -183,7 +183,7 @@
   ): readonly CatalogServer[] {
     const {ratings} = this.options;
     const remaining = servers.filter(
-      ({id}) => !ratings.ratingOf(id, now).isEjected,
+      server => !ratings.ratingOf(server, now).isEjected,
     );
     return remaining.length > 0 ? remaining : servers;
   }
@@ -195,7 +195,7 @@
     now: number,
   ): Candidate {
     const {loadTracker, placement, catalog, ratings} = this.options;
-    const rating = ratings.ratingOf(server.id, now);
+    const rating = ratings.ratingOf(server, now);
     const capacityShare = catalog.isCold(server, now) ? COLD_CAPACITY_SHARE : 1;
     const ownFlows = loadTracker.countLocalInFlight(server.id);
     const flows = placement.usesPeerLoad
