Evidence against backend servers, pooled over the fleet by heartbeats

A daemon of a large fleet sees too few requests of one server to tell that it fails, is mute or slow. Daemons now judge the requests that pass them by what is usual on the route and tell each other the bad ones.

- CatalogGossip: evidence rides in heartbeats that are no pings, and in a short one between two regular rounds.
- Nothing of it exists unless features.feedback is set.

--- a/src/catalog/catalog-gossip.ts
+++ b/src/catalog/catalog-gossip.ts
@@ -4,7 +4,13 @@
  * sender. In a small fleet heartbeats go to every peer, in a large one to a random
  * few, and changes are relayed at once.
  */
-import type {Beat, PeerAge, ServerWork} from '../generated/catalog.js';
+import type {EvidenceExchange} from '../feedback/evidence-exchange.js';
+import type {
+  Beat,
+  PeerAge,
+  ServerEvidence,
+  ServerWork,
+} from '../generated/catalog.js';
 import type {PeerDaemon} from '../membership/peer-daemon.js';
 import type {PeerView} from '../membership/peer-view.js';
 import type {Clock, Timer} from '../ports/clock.js';
@@ -47,6 +53,8 @@
 const RELAY_THRESHOLD_MS = 300;
 /** Limits relays to 120 heartbeats (some 30 kB) a second. */
 const MIN_RELAY_INTERVAL_MS = 25;
+/** Time from a heartbeat to the next one that relays evidence against servers. */
+const EVIDENCE_RELAY_INTERVAL_MS = 250;
 
 /** Dependencies and callbacks of `CatalogGossip`. */
 export interface CatalogGossipOptions {
@@ -54,6 +62,8 @@
   readonly peers: PeerView;
   readonly election: ReaderElection;
   readonly reach: ServerReachability;
+  /** Evidence against servers; undefined: none is sent or taken in. */
+  readonly evidence: EvidenceExchange | undefined;
   readonly channel: FleetChannel;
   readonly clock: Clock;
   readonly log: Log;
@@ -85,6 +95,10 @@
   private relayTimer: Timer | undefined;
   /** Time of the last relay; monotonic milliseconds. */
   private relayedAt = -Infinity;
+  /** Set while a relay of evidence is scheduled. */
+  private evidenceTimer: Timer | undefined;
+  /** Time of the last heartbeat to several peers; monotonic milliseconds. */
+  private roundSentAt = -Infinity;
   private readonly exchange: CatalogExchange;
   private readonly bootstrappingPeers = BootstrappingPeers.create();
   /** Bootstrap notices scheduled so far. */
@@ -120,6 +134,7 @@
     return () => {
       this.timer?.cancel();
       this.relayTimer?.cancel();
+      this.evidenceTimer?.cancel();
       this.bootstrapNoticeTimer?.cancel();
       void channel.close();
     };
@@ -267,11 +282,23 @@
     hello: boolean,
   ): void {
     if (receivers.length > 0) {
-      const heartbeat = this.createHeartbeat(hello);
+      // A ping may go to a peer that is not running: evidence would be wasted on it.
+      const evidence = hello ? [] : this.selectEvidence(receivers.length);
+      const heartbeat = {...this.createHeartbeat(hello), evidence};
       receivers.forEach(({address}) => this.send(address, heartbeat));
     }
   }
 
+  private selectEvidence(receivers: number): ServerEvidence[] {
+    const {evidence, clock} = this.options;
+    const now = clock.now();
+    this.roundSentAt = now;
+    return (
+      evidence?.selectEvidenceToGossip(receivers, this.isLargeFleet(), now) ??
+      []
+    );
+  }
+
   /** Sends a heartbeat, except to this daemon itself, which may be one of the seeds. */
   private send(address: number, heartbeat: Beat): void {
     if (address !== this.options.self().address) {
@@ -322,6 +349,7 @@
     heartbeat.peers.forEach(entry => peers.merge(entry, now));
     this.options.onLoadReport(sender, heartbeat.work);
     this.handleReachabilityChecks(sender, heartbeat);
+    this.mergeEvidence(heartbeat, now);
     const gainMs = Math.max(
       this.confirmCatalog(heartbeat, now),
       this.mergeReaderStatuses(heartbeat, now),
@@ -470,6 +498,13 @@
     return changes.length > 0 ? Infinity : 0;
   }
 
+  private mergeEvidence({evidence}: Beat, now: number): void {
+    const isLarge = this.isLargeFleet();
+    if (this.options.evidence?.applyEvidence(evidence, isLarge, now) === true) {
+      this.relayEvidence();
+    }
+  }
+
   /** Merges reader statuses; returns the largest gain, as of `ReaderStatuses.merge`. */
   private mergeReaderStatuses(heartbeat: Beat, now: number): number {
     const {election} = this.options;
@@ -499,6 +534,40 @@
     });
   }
 
+  /**
+   * Tells new evidence in a large fleet. Regular heartbeats carry most of it; between
+   * two of them goes one heartbeat without what changes less often.
+   */
+  relayEvidence(): void {
+    if (!this.isLargeFleet() || this.evidenceTimer !== undefined) {
+      return;
+    }
+    const {clock} = this.options;
+    this.evidenceTimer = clock.callAt(
+      Math.max(clock.now(), this.roundSentAt + EVIDENCE_RELAY_INTERVAL_MS),
+      () => {
+        this.evidenceTimer = undefined;
+        this.relayEvidenceNow();
+      },
+    );
+  }
+
+  private relayEvidenceNow(): void {
+    const receivers = this.selectReceivers();
+    const evidence = this.selectEvidence(receivers.length);
+    if (evidence.length > 0) {
+      const whole = this.createHeartbeat(false);
+      const heartbeat = {
+        ...whole,
+        peers: [],
+        reads: [],
+        reachNews: [],
+        evidence,
+      };
+      receivers.forEach(({address}) => this.send(address, heartbeat));
+    }
+  }
+
   private relayNow(): void {
     this.relayedAt = this.options.clock.now();
     this.announce();
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -7,6 +7,7 @@
 import {ReaderElection} from '../catalog/reader-election.js';
 import {CatalogReader} from '../catalog/catalog-reader.js';
 import {CatalogGossip} from '../catalog/catalog-gossip.js';
+import {ServerFeedback} from '../feedback/server-feedback.js';
 import {UniformRatings} from '../feedback/server-ratings.js';
 import type {PeerAge} from '../generated/catalog.js';
 import {PeerView} from '../membership/peer-view.js';
@@ -53,6 +54,8 @@
 /** A daemon, from `run` until `stop`. */
 export class EntryDaemon {
   readonly catalog: Catalog;
+  /** Performance feedback; undefined while the feature is off. */
+  readonly feedback: ServerFeedback | undefined;
   private readonly peers: PeerView;
   private readonly serverLoad: ServerLoadTracker;
   private readonly placement: Placement;
@@ -76,6 +79,9 @@
     this.peers = PeerView.create({self: address, failureDomain, random});
     this.serverLoad = ServerLoadTracker.create(hasher);
     this.placement = options.placement ?? LocalLoadPlacement.create();
+    this.feedback = settings.features.feedback
+      ? this.createFeedback()
+      : undefined;
     this.router = this.createRouter();
     this.packetHandler = this.createPacketHandler();
     this.election = this.createElection();
@@ -103,6 +109,9 @@
     // Requests the catalog first, so that the read overlaps with opening the channel.
     this.stopCallbacks.push(this.reader.start());
     this.stopCallbacks.push(await this.gossip.start());
+    if (this.feedback !== undefined) {
+      this.stopCallbacks.push(this.feedback.start());
+    }
     log.info('started', {
       address: formatIpv4(settings.address),
       failureDomain: settings.failureDomain,
@@ -196,6 +205,19 @@
     runOnce();
   }
 
+  private createFeedback(): ServerFeedback {
+    const {clock, hasher, counters, settings} = this.options;
+    return ServerFeedback.create({
+      self: settings.address,
+      clock,
+      hasher,
+      counters,
+      listServers: () => this.catalog.allServers(),
+      reportDueRequests: () => this.router.reportDueRequests(),
+      onEvidence: () => this.gossip.relayEvidence(),
+    });
+  }
+
   private createRouter(): CookieRouter {
     const {clock, random, counters, settings} = this.options;
     return CookieRouter.create({
@@ -212,8 +234,8 @@
       regionOf: domain => settings.regions.get(domain),
       coldLimits: settings.coldLimits,
       countDaemons: () => this.peers.countDaemons(clock.now()),
-      ratings: UniformRatings.create(),
-      observer: undefined,
+      ratings: this.feedback?.ratings ?? UniformRatings.create(),
+      observer: this.feedback?.observer,
       retainsPackets: settings.features.feedback,
     });
   }
@@ -287,6 +309,7 @@
       peers: this.peers,
       election: this.election,
       reach: this.reachability,
+      evidence: this.feedback,
       channel,
       clock,
       log,
@@ -347,6 +370,7 @@
     logCatalogChange(this.options.log, change, this.versionFields());
     this.reachability.onListingChange(change);
     this.terminator.onCatalogChange(change);
+    this.feedback?.onCatalogChange(change);
     if (change.departed.length > 0) {
       this.serverLoad.retain(this.catalog.allServers().map(({id}) => id));
     }
--- a/src/ports/counters.ts
+++ b/src/ports/counters.ts
@@ -33,6 +33,14 @@
   REQUESTS_RETRIED: 'requests.retried',
   STREAMS_OPENED: 'streams.opened',
   STREAMS_REFUSED: 'streams.refused',
+  /** Requests of this daemon that ended badly, by kind. */
+  EVIDENCE_FAILED: 'evidence.failed',
+  EVIDENCE_OVERDUE: 'evidence.overdue',
+  EVIDENCE_SLOW: 'evidence.slow',
+  /** Records of evidence sent to peers. */
+  EVIDENCE_TOLD: 'evidence.told',
+  /** Verdicts on requests that were not counted. */
+  EVIDENCE_DROPPED: 'evidence.dropped',
   REVISION_ACTIVE: 'configuration.revision',
   OPENING_ANSWER_MS: 'opening.answer_ms',
   REQUEST_ANSWER_MS: 'request.answer_ms',
