--- a/src/feedback/server-ratings.ts
+++ b/src/feedback/server-ratings.ts
@@ -8,7 +8,7 @@
 export interface ServerRating {
   /**
    * Share of new flows relative to a typical server of the service with as many slots,
-   * above 0: 1 is typical, 0.2 that of a server that takes five times as long.
+   * above 0 and at most 1: 1 is typical, 0.2 a fifth of that.
    */
   readonly weight: number;
   /** Whether its requests fail more often than others', so that it gets no new flows. */
@@ -22,6 +22,15 @@
 export abstract class ServerRatings {
   /** Returns the rating of a server; `now` is monotonic milliseconds. */
   abstract ratingOf(server: CatalogServer, now: number): ServerRating;
+
+  /**
+   * Whether all servers of a service are known to be rated neutrally, which spares asking
+   * for each; false if that would have to be found out.
+   */
+  isNeutral(service: string, now: number): boolean {
+    void [service, now];
+    return false;
+  }
 }
 
 /** Rates all servers equally; used by daemons without performance feedback. */
@@ -38,4 +47,8 @@
   ratingOf(): ServerRating {
     return NEUTRAL_RATING;
   }
+
+  override isNeutral(): boolean {
+    return true;
+  }
 }
--- a/src/ports/counters.ts
+++ b/src/ports/counters.ts
@@ -31,6 +31,9 @@
   REQUESTS_NOT_RUN: 'requests.not_run',
   REQUESTS_UNKNOWN: 'requests.unknown',
   REQUESTS_RETRIED: 'requests.retried',
+  /** Backend servers that get no new flows since they are outliers. */
+  SERVERS_EJECTED: 'servers.ejected',
+  SERVERS_EJECTIONS: 'servers.ejections',
   STREAMS_OPENED: 'streams.opened',
   STREAMS_REFUSED: 'streams.refused',
   REVISION_ACTIVE: 'configuration.revision',
--- a/src/routing/server-selector.ts
+++ b/src/routing/server-selector.ts
@@ -64,12 +64,16 @@
     triedServers: readonly CatalogServer[],
     now: number,
   ): CatalogServer | undefined {
-    const {catalog, placement, random} = this.options;
+    const {catalog, placement, random, ratings} = this.options;
     const service = this.selectService(route);
     const eligible = this.filterByRegion(catalog.openServers(service), route);
     const admitted = this.filterByColdRate(eligible, service, now);
+    const isNeutral = ratings.isNeutral(service, now);
+    const notEjected = isNeutral
+      ? admitted
+      : this.excludeEjected(admitted, now);
     // Later packets could not identify a server that has no cookie at the route.
-    const servers = this.sample(admitted).filter(
+    const servers = this.sample(notEjected).filter(
       server => catalog.cookieOf(server, route) !== undefined,
     );
     this.recordOverdueOpenings(servers, now);
@@ -77,10 +81,9 @@
     if (usable.length === 0) {
       return undefined;
     }
-    const candidates = usable.map((server, index) =>
-      this.createCandidate(server, index, now),
-    );
-    return usable[placement.choose(candidates, random.nextInt(usable.length))];
+    const kept = isNeutral ? usable : this.thinByWeight(usable, now);
+    const candidates = this.createCandidates(kept, now);
+    return kept[placement.choose(candidates, random.nextInt(kept.length))];
   }
 
   /** Returns the servers in the regions of a route; all if it is bound to none. */
@@ -153,9 +156,8 @@
   }
 
   /**
-   * Returns responsive servers that are not ejected, those not tried yet if there are any.
-   * When fewer than half are responsive, responsiveness is ignored: the fault may be in
-   * this daemon's network.
+   * Returns responsive servers, those not tried yet if there are any. When fewer than half
+   * are responsive, responsiveness is ignored: the fault may be in this daemon's network.
    */
   private filterUsable(
     servers: readonly CatalogServer[],
@@ -169,11 +171,10 @@
     );
     const considered =
       responsive.length * 2 >= servers.length ? responsive : servers;
-    const notEjected = this.excludeEjected(considered, now);
-    const untried = notEjected.filter(
+    const untried = considered.filter(
       ({id}) => !triedServers.some(server => server.id === id),
     );
-    return untried.length > 0 ? untried : notEjected;
+    return untried.length > 0 ? untried : considered;
   }
 
   /** Returns the servers that are not ejected; all if every one is. */
@@ -188,20 +189,62 @@
     return remaining.length > 0 ? remaining : servers;
   }
 
+  /**
+   * Returns the servers of full weight, and each other one with its weight as probability;
+   * all if none is left. A weight that divided the load would exclude its server: most
+   * servers have one or no request of a daemon, and one of them is always idle.
+   */
+  private thinByWeight(
+    servers: readonly CatalogServer[],
+    now: number,
+  ): readonly CatalogServer[] {
+    const {random} = this.options;
+    const kept = servers.filter(server => {
+      const weight = this.weightOf(server, now);
+      return weight >= 1 || random.nextBool(weight);
+    });
+    return kept.length > 0 ? kept : servers;
+  }
+
+  private weightOf(server: CatalogServer, now: number): number {
+    return this.options.ratings.ratingOf(server, now).weight;
+  }
+
+  /**
+   * Creates the placement candidates of servers, identified by their indexes. One of
+   * reduced weight counts as at least as loaded as another server drawn at random, since
+   * it is idle more often and would attract more flows than its weight allows.
+   */
+  private createCandidates(
+    servers: readonly CatalogServer[],
+    now: number,
+  ): Candidate[] {
+    const {random} = this.options;
+    const candidates = servers.map((server, index) =>
+      this.createCandidate(server, index, now),
+    );
+    const isTypical = servers.map(server => this.weightOf(server, now) >= 1);
+    const typical = candidates.filter((_candidate, index) => isTypical[index]);
+    return candidates.map((candidate, index) =>
+      isTypical[index] || typical.length === 0
+        ? candidate
+        : raiseLoad(candidate, typical[random.nextInt(typical.length)]),
+    );
+  }
+
   /** Creates the placement candidate of a server; `index` identifies it to the placement. */
   private createCandidate(
     server: CatalogServer,
     index: number,
     now: number,
   ): Candidate {
-    const {loadTracker, placement, catalog, ratings} = this.options;
-    const rating = ratings.ratingOf(server, now);
+    const {loadTracker, placement, catalog} = this.options;
     const capacityShare = catalog.isCold(server, now) ? COLD_CAPACITY_SHARE : 1;
     const ownFlows = loadTracker.countLocalInFlight(server.id);
     const flows = placement.usesPeerLoad
       ? loadTracker.countInFlight(server.id, now)
       : ownFlows;
-    const weight = server.slots * capacityShare * rating.weight;
+    const weight = server.slots * capacityShare;
     return {server: index, weight, flows, localFlows: ownFlows};
   }
 
@@ -226,3 +269,13 @@
     this.options.onUnanswered(server);
   }
 }
+
+/** Returns a candidate that is at least as loaded as `other`, by weight. */
+function raiseLoad(candidate: Candidate, other: Candidate): Candidate {
+  const scale = candidate.weight / other.weight;
+  return {
+    ...candidate,
+    flows: Math.max(candidate.flows, other.flows * scale),
+    localFlows: Math.max(candidate.localFlows, other.localFlows * scale),
+  };
+}
