--- a/src/feedback/service-rater.ts
+++ b/src/feedback/service-rater.ts
@@ -11,6 +11,7 @@
   usualCount,
 } from './outlier-detector.js';
 import type {ServerEvidencePool} from './server-evidence.js';
+import {ServerExposure} from './server-exposure.js';
 import {NEUTRAL_RATING, type ServerRating} from './server-ratings.js';
 
 /**
@@ -68,7 +69,11 @@
   private readonly ejections = new Map<string, Ejection>();
   private rated = new Map<string, RatedServer>();
 
-  private constructor(private readonly options: ServiceRaterOptions) {}
+  private readonly exposure: ServerExposure;
+
+  private constructor(private readonly options: ServiceRaterOptions) {
+    this.exposure = ServerExposure.create(options.halfLifeMs);
+  }
 
   /** Creates a rater to which all servers are typical. */
   static create(options: ServiceRaterOptions): ServiceRater {
@@ -102,12 +107,13 @@
   /** Rates the open servers of the service; `now` is monotonic milliseconds. */
   evaluate(servers: readonly CatalogServer[], now: number): void {
     this.removeVoid(servers, now);
+    this.exposure.record(servers, now);
     const evidence = servers.map(server => this.readEvidence(server, now));
     if (this.ejections.size === 0 && evidence.every(hasNone)) {
       this.rated.clear();
       return;
     }
-    const usual = this.findUsual(evidence);
+    const usual = this.findUsual(evidence, now);
     evidence.forEach(each => this.advance(each, usual.faults, now));
     this.ejectOutliers(evidence, usual.faults, now);
     this.rated = new Map(
@@ -149,12 +155,19 @@
     return {server, total, faults, slow};
   }
 
-  /** Returns the usual counts of the servers that get new flows as usual. */
-  private findUsual(evidence: readonly Evidence[]): UsualCounts {
+  /**
+   * Returns the usual counts of the servers that get new flows as usual and have done so
+   * for some time; of all that get them as usual if most were added of late.
+   */
+  private findUsual(evidence: readonly Evidence[], now: number): UsualCounts {
     const typical = evidence.filter(({server}) => !this.isHeld(server));
+    const settled = typical.filter(({server}) =>
+      this.exposure.isSettled(server, now),
+    );
+    const compared = settled.length * 2 >= typical.length ? settled : typical;
     return {
-      faults: usualCount(typical.map(({faults}) => faults)),
-      slow: usualCount(typical.map(({slow}) => slow)),
+      faults: usualCount(compared.map(({faults}) => faults)),
+      slow: usualCount(compared.map(({slow}) => slow)),
     };
   }
 
