Ratings by pooled evidence take effect with feedback; errors are told by the spread of lengths

ServerFeedback holds OutlierRatings in place of uniform ones, with their log lines and metrics.

It is now an error three standard deviations below the median of the logarithms, by the upper quartile, where no errors lie, and at most half of the median (errors there: 152 to 155 bytes); none while a third is as short.

The spread of evidence is measured with slow answers: a server that fails is ejected now, and evidence against it is no longer told. The bounds are unchanged.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -145,6 +145,7 @@
     const {counters} = this.options;
     counters.set(Metric.FLOWS_HELD, this.router.flows.size);
     counters.set(Metric.REVISION_ACTIVE, this.catalog.stamp.routeVersion);
+    this.feedback?.updateGauges();
   }
 
   /**
@@ -206,12 +207,10 @@
   }
 
   private createFeedback(): ServerFeedback {
-    const {clock, hasher, counters, settings} = this.options;
     return ServerFeedback.create({
-      self: settings.address,
-      clock,
-      hasher,
-      counters,
+      ...this.options,
+      self: this.options.settings.address,
+      openServers: service => this.catalog.openServers(service),
       listServers: () => this.catalog.allServers(),
       reportDueRequests: () => this.router.reportDueRequests(),
       onEvidence: () => this.gossip.relayEvidence(),
--- a/src/feedback/evidence-pool.ts
+++ b/src/feedback/evidence-pool.ts
@@ -16,7 +16,7 @@
  * Time in which counts halve. A server that takes 8 requests a second counts some 57
  * requests of late, so that 40% failures stand out from chance within a few seconds.
  */
-const HALF_LIFE_MS = 5_000;
+export const EVIDENCE_HALF_LIFE_MS = 5_000;
 /** Time after which a record is removed: four half-lives. */
 const RECORD_LIFETIME_MS = 20_000;
 /** Limit of records; the oldest are removed first. */
@@ -226,5 +226,5 @@
 
 /** Share of a count at `from` that is left at `to`. */
 function decayBetween(from: number, to: number): number {
-  return 2 ** (-Math.max(0, to - from) / HALF_LIFE_MS);
+  return 2 ** (-Math.max(0, to - from) / EVIDENCE_HALF_LIFE_MS);
 }
--- a/src/feedback/outcome-classifier.ts
+++ b/src/feedback/outcome-classifier.ts
@@ -18,13 +18,20 @@
 
 /** Answers of a route below which its requests are not judged. */
 const MIN_SAMPLES = 16;
+/** Share of the median length from which no answer is an error. */
+const MAX_FAILED_LENGTH_SHARE = 0.5;
 /**
- * Quantile of the answer lengths that counts as usual. Below the median, so that a route
- * with long and short answers has a low limit; above the share of errors to be found.
+ * Standard deviations of the logarithm of the lengths by which an error is shorter than
+ * the median: rare among good answers of any spread.
  */
-const USUAL_LENGTH_QUANTILE = 0.35;
-/** Share of the usual length below which an answer is an error. */
-const FAILED_LENGTH_SHARE = 0.5;
+const FAILED_LENGTH_DEVIATIONS = 3;
+/**
+ * Share of short answers from which they are no errors: either most servers fail, or the
+ * route has short and long answers.
+ */
+const MAX_SHORT_SHARE = 0.35;
+/** Distance of the upper quartile from the median of a normal distribution. */
+const QUARTILE_DEVIATIONS = 0.674;
 /** An answer that was cut off has at least one full packet, of 1,200 bytes or more. */
 const MAX_FAILED_BYTES = 1_000;
 /** Multiple of the route's median time to answer at which an answer is slow. */
@@ -147,13 +154,25 @@
 }
 
 function isFailed({answerBytes}: RequestOutcome, {lengths}: RouteSamples) {
-  const usualBytes = lengths.quantile(USUAL_LENGTH_QUANTILE);
+  const limit = errorLimit(lengths);
+  const areShortOnesRare = lengths.quantile(MAX_SHORT_SHARE) >= limit;
   return (
-    answerBytes <= MAX_FAILED_BYTES &&
-    answerBytes < usualBytes * FAILED_LENGTH_SHARE
+    areShortOnesRare && answerBytes <= MAX_FAILED_BYTES && answerBytes < limit
   );
 }
 
+/**
+ * Returns the length in bytes below which an answer is an error. The spread of good
+ * answers is taken from the upper half of the lengths, where there are no errors.
+ */
+function errorLimit(lengths: RecentSamples): number {
+  const median = lengths.quantile(0.5);
+  const deviation =
+    Math.log(lengths.quantile(0.75) / median) / QUARTILE_DEVIATIONS;
+  const share = Math.exp(-FAILED_LENGTH_DEVIATIONS * deviation);
+  return median * Math.min(MAX_FAILED_LENGTH_SHARE, share);
+}
+
 function isSlow(
   {answeredAt, lastDataAt, route}: RequestOutcome,
   {times}: RouteSamples,
--- a/src/feedback/server-feedback.spec.ts
+++ b/src/feedback/server-feedback.spec.ts
@@ -59,12 +59,17 @@
   return platform.listReadyServers('pay').map(({entry}) => entry);
 }
 
+/** Time to answer, in milliseconds, of usual and of slow requests. */
+const USUAL_MS = 20;
+const SLOW_MS = 400;
+
 /** Has a daemon observe an answered request; a short answer is a failure. */
 function observe(
   {clock, random}: SimulatedPlatform,
   feedback: ServerFeedback,
   server: CatalogServer,
   answerBytes = 3_000,
+  elapsedMs = USUAL_MS,
 ): void {
   const now = clock.now();
   feedback.observer.onEnd(
@@ -73,8 +78,8 @@
       route: KNOWN_ROUTE,
       caller: random.nextInt(1_000_000),
       end: RequestEnd.ANSWERED,
-      startedAt: now - 20,
-      lastDataAt: now - 20,
+      startedAt: now - elapsedMs,
+      lastDataAt: now - elapsedMs,
       answeredAt: now,
       requestBytes: 200,
       answerBytes,
@@ -89,9 +94,10 @@
   server: CatalogServer,
 ): number {
   const now = platform.clock.now();
-  return feedbacksOf(platform).filter(
-    ({pool}) => pool.countFaults(server, now).failed > 0,
-  ).length;
+  return feedbacksOf(platform).filter(({pool}) => {
+    const {failed, overdue, slow} = pool.countFaults(server, now);
+    return failed + overdue + slow > 0;
+  }).length;
 }
 
 [8, 101, 300].forEach(daemons =>
@@ -108,37 +114,40 @@
   }),
 );
 
-/** Has random daemons observe failures of bad servers, each among 4 good answers. */
-async function observeFailures(
+/**
+ * Has random daemons observe slow answers of bad servers, each among 4 good ones. Slow
+ * servers are not ejected, so that evidence against them is told all the time.
+ */
+async function observeSlowAnswers(
   platform: SimulatedPlatform,
   bad: readonly CatalogServer[],
-  failuresPerSecond: number,
+  faultsPerSecond: number,
   seconds: number,
 ): Promise<void> {
   const feedbacks = feedbacksOf(platform);
-  for (let count = 0; count < failuresPerSecond * seconds; count += 1) {
+  for (let count = 0; count < faultsPerSecond * seconds; count += 1) {
     const feedback = platform.random.pick(feedbacks);
     const server = platform.random.pick(bad);
     assert.ok(feedback !== undefined && server !== undefined);
-    observe(platform, feedback, server, 150);
+    observe(platform, feedback, server, 3_000, SLOW_MS);
     serversOf(platform)
       .slice(-4)
       .forEach(good => observe(platform, feedback, good));
-    await platform.clock.advance(1_000 / failuresPerSecond);
+    await platform.clock.advance(1_000 / faultsPerSecond);
   }
 }
 
-/** Share of the true count of failures that the daemons' pools hold on average. */
+/** Share of the true count of slow answers that the daemons' pools hold on average. */
 function meanShare(
   platform: SimulatedPlatform,
   bad: readonly CatalogServer[],
-  failuresPerSecond: number,
+  faultsPerSecond: number,
 ): {mean: number; least: number} {
   const now = platform.clock.now();
   // The decayed count after a long time at this rate.
-  const expected = (failuresPerSecond / bad.length) * 7.2;
+  const expected = (faultsPerSecond / bad.length) * 7.2;
   const shares = feedbacksOf(platform).flatMap(({pool}) =>
-    bad.map(server => pool.countFaults(server, now).failed / expected),
+    bad.map(server => pool.countFaults(server, now).slow / expected),
   );
   const mean = shares.reduce((sum, share) => sum + share, 0) / shares.length;
   return {mean, least: Math.min(...shares)};
@@ -151,7 +160,7 @@
   {daemons: 101, failures: 74, mean: 0.3},
   {daemons: 300, failures: 200, mean: 0.08, seconds: 10},
 ].forEach(({daemons, failures, mean, seconds = 15}) =>
-  test(`${daemons} daemons that see ${failures} failures a second send less than 4 kB a second each`, async t => {
+  test(`${daemons} daemons that see ${failures} slow answers a second send less than 4 kB a second each`, async t => {
     const platform = await createFleetWithSamples(daemons);
     const bad = serversOf(platform).slice(0, 5);
     const {sent} = platform.network;
@@ -161,7 +170,7 @@
     await platform.clock.advance(5_000);
     const calmRate = rateOver(beforeCalm, 5);
     const before = sent.bytes;
-    await observeFailures(platform, bad, failures, seconds);
+    await observeSlowAnswers(platform, bad, failures, seconds);
     const rate = rateOver(before, seconds);
     const shares = meanShare(platform, bad, failures);
     t.diagnostic(
@@ -190,7 +199,7 @@
 test('a restarted server has no evidence against it at any of 30 daemons', async () => {
   const platform = await createFleetWithSamples(30);
   const [server] = serversOf(platform);
-  await observeFailures(platform, [server], 10, 3);
+  await observeSlowAnswers(platform, [server], 10, 3);
   assert.equal(countInformed(platform, server), 30);
   const running = platform.findServer(server.id);
   assert.ok(running !== undefined);
--- a/src/feedback/server-feedback.ts
+++ b/src/feedback/server-feedback.ts
@@ -9,15 +9,21 @@
 import type {Clock, Timer} from '../ports/clock.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import type {Hasher} from '../ports/hasher.js';
+import type {Log} from '../ports/log.js';
 import type {RequestObserver} from '../routing/request-outcome.js';
 import {ServerHashes} from '../routing/server-hashes.js';
+import {EjectionReports} from './ejection-reports.js';
 import {EvidenceExchange} from './evidence-exchange.js';
-import {EvidencePool, type EvidenceRecord} from './evidence-pool.js';
+import {
+  EVIDENCE_HALF_LIFE_MS,
+  EvidencePool,
+  type EvidenceRecord,
+} from './evidence-pool.js';
 import {EvidenceSpread} from './evidence-spread.js';
 import type {FaultVerdict} from './late-verdicts.js';
 import {OutcomeClassifier} from './outcome-classifier.js';
+import {OutlierRatings} from './outlier-ratings.js';
 import {FaultKind, type ServerEvidencePool} from './server-evidence.js';
-import {UniformRatings, type ServerRatings} from './server-ratings.js';
 
 /** Interval at which due requests are reported: short against targets of callers. */
 const REPORT_INTERVAL_MS = 100;
@@ -37,6 +43,9 @@
   readonly clock: Clock;
   readonly hasher: Hasher;
   readonly counters: Counters;
+  readonly log: Log;
+  /** Returns the servers of a service that accept new flows. */
+  openServers(service: string): readonly CatalogServer[];
   /** Lists the servers in the catalog. */
   listServers(): readonly CatalogServer[];
   /** Reports requests that are answered or overdue to the observer. */
@@ -50,7 +59,7 @@
   readonly pool: ServerEvidencePool;
   readonly observer: RequestObserver;
   /** Ratings that new flows are placed by. */
-  readonly ratings: ServerRatings;
+  readonly ratings: OutlierRatings;
   private readonly hashes: ServerHashes;
   private readonly evidence: EvidencePool;
   private readonly spread: EvidenceSpread;
@@ -71,7 +80,12 @@
     });
     this.pool = this.evidence;
     this.observer = this.classifier;
-    this.ratings = UniformRatings.create();
+    this.ratings = OutlierRatings.create({
+      pool: this.evidence,
+      halfLifeMs: EVIDENCE_HALF_LIFE_MS,
+      listener: EjectionReports.create(options),
+      openServers: service => options.openServers(service),
+    });
   }
 
   /** Creates an instance without evidence; its timer is idle until started. */
@@ -117,15 +131,23 @@
   /** Voids the evidence against servers that restarted or departed. */
   onCatalogChange({restarted, departed}: CatalogChange): void {
     const now = this.options.clock.now();
-    [...restarted, ...departed].forEach(({id}) =>
-      this.evidence.forget(id, now),
-    );
+    [...restarted, ...departed].forEach(({id}) => {
+      this.evidence.forget(id, now);
+      this.ratings.forget(id);
+    });
     if (departed.length > 0) {
       const listed = this.options.listServers();
       this.hashes.retain(new Set(listed.map(({id}) => this.hashes.of(id))));
     }
   }
 
+  /** Refreshes the gauge of ejected servers. */
+  updateGauges(): void {
+    const {clock, counters} = this.options;
+    const ejected = this.ratings.countEjected(clock.now());
+    counters.set(Metric.SERVERS_EJECTED, ejected);
+  }
+
   private tick(): void {
     const {clock} = this.options;
     const now = clock.now();
