Stand-ins of faulty servers, and whole fleets that rate them

A server may fail a share of its requests by a short answer, be mute, or take a multiple of the time; callers acknowledge an answer's length.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -7,7 +7,10 @@
 import {ReaderElection} from '../catalog/reader-election.js';
 import {CatalogReader} from '../catalog/catalog-reader.js';
 import {CatalogGossip} from '../catalog/catalog-gossip.js';
-import {UniformRatings} from '../feedback/server-ratings.js';
+import {
+  UniformRatings,
+  type ServerRatings,
+} from '../feedback/server-ratings.js';
 import type {PeerAge} from '../generated/catalog.js';
 import {PeerView} from '../membership/peer-view.js';
 import type {CatalogSource} from '../ports/catalog-source.js';
@@ -48,6 +51,8 @@
   readonly log: Log;
   /** Placement of new flows; undefined: by the load that this daemon observes itself. */
   readonly placement?: Placement;
+  /** Creates the ratings of servers; undefined: all are rated equally. */
+  createRatings?(catalog: Catalog): ServerRatings;
 }
 
 /** A daemon, from `run` until `stop`. */
@@ -212,7 +217,8 @@
       regionOf: domain => settings.regions.get(domain),
       coldLimits: settings.coldLimits,
       countDaemons: () => this.peers.countDaemons(clock.now()),
-      ratings: UniformRatings.create(),
+      ratings:
+        this.options.createRatings?.(this.catalog) ?? UniformRatings.create(),
       observer: undefined,
       retainsPackets: settings.features.feedback,
     });
--- a/standins/cookie-callers.ts
+++ b/standins/cookie-callers.ts
@@ -4,7 +4,7 @@
  */
 import type {Clock, Timer} from '../src/ports/clock.js';
 import type {CookiePacket} from '../src/ports/cookie-fabric.js';
-import type {ServerPacket} from './cookie-servers.js';
+import {ANSWER_BYTES, type ServerPacket} from './cookie-servers.js';
 
 /** Times after the first opening packet at which copies of it are sent. */
 const OPENING_RETRANSMIT_DELAYS_MS: readonly number[] = [200, 600];
@@ -49,6 +49,8 @@
   /** Id of the server that accepted the flow; undefined: none has. */
   server: string | undefined;
   answers = 0;
+  /** Bytes of all answers. */
+  private answerBytes = 0;
   /** Whether a request is unanswered, or was when the flow ended. */
   isWaiting = false;
   /** How the flow ended; undefined while it is open. */
@@ -83,7 +85,7 @@
     } else if (packet.server === this.server && packet.kind === 'received') {
       this.acknowledgedCount = this.answers + 1;
     } else if (packet.server === this.server) {
-      this.handleAnswer();
+      this.handleAnswer(packet.answerBytes ?? ANSWER_BYTES);
     }
   }
 
@@ -135,8 +137,9 @@
     this.sendRequest(INITIAL_RETRANSMIT_MS, this.answers);
   }
 
-  private handleAnswer(): void {
+  private handleAnswer(bytes: number): void {
     this.answers += 1;
+    this.answerBytes += bytes;
     this.isWaiting = false;
     if (this.answers < this.options.requests) {
       this.send({dataLength: 0});
@@ -193,7 +196,7 @@
       resets: false,
       cookie: fields.opens === true ? 0 : this.cookie,
       sequence: this.answers * REQUEST_BYTES,
-      acknowledged: this.answers * REQUEST_BYTES + 1,
+      acknowledged: this.answerBytes + 1,
       openAttempt: 0,
       dataLength: 0,
       bytes: new Uint8Array(0),
--- a/standins/cookie-servers.ts
+++ b/standins/cookie-servers.ts
@@ -13,8 +13,31 @@
   readonly kind: 'opened' | 'received' | 'answer' | 'reset';
   /** Cookie of the packet that this one responds to. */
   readonly cookie: number;
+  /** Length of an answer; undefined for other kinds. */
+  readonly answerBytes?: number;
 }
 
+/** Length of an answer, and of one that says that the request failed. */
+export const ANSWER_BYTES = 100;
+export const FAILURE_BYTES = 20;
+
+/** How a server treats requests worse than it should. */
+export interface ServerFaults {
+  /** Share of the requests that get a short failure answer at once. */
+  readonly failureShare: number;
+  /** Whether it acknowledges requests and never answers them. */
+  readonly isMute: boolean;
+  /** Multiple of the usual processing time. */
+  readonly workFactor: number;
+}
+
+/** The faults of a server that has none. */
+export const NO_SERVER_FAULTS: ServerFaults = {
+  failureShare: 0,
+  isMute: false,
+  workFactor: 1,
+};
+
 /** Options of a server. */
 export interface CookieServerOptions {
   readonly entry: CatalogServer;
@@ -36,6 +59,8 @@
   /** Whether it has crashed: it has lost its flows and rejects new ones. */
   hasCrashed = false;
   state: ServerState = ServerState.READY;
+  faults: ServerFaults = NO_SERVER_FAULTS;
+  private requestCount = 0;
   private busySlots = 0;
   private readonly queue: (() => void)[] = [];
   private readonly flows = new Set<string>();
@@ -68,7 +93,7 @@
     } else if (packet.closes) {
       this.flows.delete(flow);
     } else if (packet.dataLength > 0) {
-      this.acceptRequest(flow, cookie);
+      this.receiveRequest(flow, cookie);
     }
   }
 
@@ -97,6 +122,26 @@
     this.reply(flow, 'opened', cookie);
   }
 
+  private receiveRequest(flow: string, cookie: number): void {
+    if (this.faults.isMute) {
+      this.reply(flow, 'received', cookie);
+    } else if (this.isNextFailed()) {
+      this.replyAnswer(flow, cookie, FAILURE_BYTES);
+    } else {
+      this.acceptRequest(flow, cookie);
+    }
+  }
+
+  /** Counts a request; returns whether it is among the share that fails, evenly spread. */
+  private isNextFailed(): boolean {
+    const {failureShare} = this.faults;
+    this.requestCount += 1;
+    return (
+      Math.floor(this.requestCount * failureShare) >
+      Math.floor((this.requestCount - 1) * failureShare)
+    );
+  }
+
   private acceptRequest(flow: string, cookie: number): void {
     const {entry, queueLength, confirms} = this.options;
     const run = () => this.processRequest(flow, cookie);
@@ -115,15 +160,21 @@
   private processRequest(flow: string, cookie: number): void {
     const {clock, workMs} = this.options;
     this.busySlots += 1;
-    clock.callAt(clock.now() + workMs, () => {
+    const durationMs = workMs * this.faults.workFactor;
+    clock.callAt(clock.now() + durationMs, () => {
       this.busySlots -= 1;
       if (this.hasFlow(flow) && !this.isSilent) {
-        this.reply(flow, 'answer', cookie);
+        this.replyAnswer(flow, cookie, ANSWER_BYTES);
       }
       this.queue.shift()?.();
     });
   }
 
+  private replyAnswer(flow: string, cookie: number, answerBytes: number): void {
+    const server = this.options.entry.id;
+    this.options.send({flow, server, kind: 'answer', cookie, answerBytes});
+  }
+
   private reply(
     flow: string,
     kind: ServerPacket['kind'],
--- a/standins/simulated-platform.ts
+++ b/standins/simulated-platform.ts
@@ -4,6 +4,7 @@
  * inject faults and read the invariant violations that the simulation recorded.
  */
 import {MemoryCounters} from '../src/adapters/memory-counters.js';
+import type {Catalog} from '../src/catalog/catalog.js';
 import type {
   CatalogRoute,
   CatalogServer,
@@ -12,6 +13,7 @@
 } from '../src/catalog/records.js';
 import {EntryDaemon} from '../src/entry/entry-daemon.js';
 import type {EntryFeatures, EntrySettings} from '../src/entry/settings.js';
+import type {ServerRatings} from '../src/feedback/server-ratings.js';
 import type {CallerPosition, CookiePacket} from '../src/ports/cookie-fabric.js';
 import type {Hasher} from '../src/ports/hasher.js';
 import type {ColdStartLimits} from '../src/routing/cold-start-limiter.js';
@@ -93,6 +95,10 @@
   readonly placement?: Placement;
   /** Optional features of the daemons; undefined: all off. */
   readonly features?: EntryFeatures;
+  /** Creates the ratings of one daemon; undefined: all servers are rated equally. */
+  createRatings?(catalog: Catalog): ServerRatings;
+  /** Called for each packet that a server sends. */
+  onServerPacket?(packet: ServerPacket): void;
 }
 
 /** A simulated daemon, running or stopped. */
@@ -336,6 +342,7 @@
         String(address),
       ),
       placement: this.plan.placement,
+      createRatings: this.plan.createRatings,
     });
     await daemon.running.run();
   }
@@ -504,6 +511,7 @@
   }
 
   private sendToCaller(packet: ServerPacket): void {
+    this.plan.onServerPacket?.(packet);
     this.runAfterLatency(() => this.callers.find(packet.flow)?.receive(packet));
   }
 
