--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -8,7 +8,10 @@
 import {CatalogReader} from '../catalog/catalog-reader.js';
 import {CatalogGossip} from '../catalog/catalog-gossip.js';
 import {ServerFeedback} from '../feedback/server-feedback.js';
-import {UniformRatings} from '../feedback/server-ratings.js';
+import {
+  UniformRatings,
+  type ServerRatings,
+} from '../feedback/server-ratings.js';
 import type {PeerAge} from '../generated/catalog.js';
 import {PeerView} from '../membership/peer-view.js';
 import type {CatalogSource} from '../ports/catalog-source.js';
@@ -49,6 +52,8 @@
   readonly log: Log;
   /** Placement of new flows; undefined: by the load that this daemon observes itself. */
   readonly placement?: Placement;
+  /** Creates the ratings of servers; undefined: all are rated equally. */
+  createRatings?(catalog: Catalog): ServerRatings;
 }
 
 /** A daemon, from `run` until `stop`. */
@@ -217,6 +222,15 @@
     });
   }
 
+  private createRatings(): ServerRatings {
+    const {createRatings} = this.options;
+    return (
+      createRatings?.(this.catalog) ??
+      this.feedback?.ratings ??
+      UniformRatings.create()
+    );
+  }
+
   private createRouter(): CookieRouter {
     const {clock, random, counters, settings} = this.options;
     return CookieRouter.create({
@@ -233,7 +247,7 @@
       regionOf: domain => settings.regions.get(domain),
       coldLimits: settings.coldLimits,
       countDaemons: () => this.peers.countDaemons(clock.now()),
-      ratings: this.feedback?.ratings ?? UniformRatings.create(),
+      ratings: this.createRatings(),
       observer: this.feedback?.observer,
       retainsPackets: settings.features.feedback,
     });
