Discard unanswered requests of routes without a target after a minute

A request whose flow moved to another daemon is never answered here, and on a route without a target it was never due either, so its record stayed for good once requests are tracked. Ruled out: reporting it as overdue, since nothing says what callers of such a route need.

--- a/src/routing/request-tracker.spec.ts
+++ b/src/routing/request-tracker.spec.ts
@@ -108,3 +108,16 @@
   tracker.reportDue(10_000);
   assert.equal(observer.outcomes.length, 0);
 });
+
+test('unanswered requests of a route without a target are discarded after a minute', () => {
+  const observer = new RecordingObserver();
+  const tracker = RequestTracker.create(observer);
+  const route = {...ROUTE, targetMs: Infinity};
+  const packet = createPacket({dataLength: 200, acknowledged: 1_000});
+  tracker.recordPacket(FLOW, packet, route, SERVER, 0);
+  tracker.reportDue(59_999);
+  assert.equal(tracker.size, 1);
+  tracker.reportDue(60_000);
+  assert.equal(tracker.size, 0);
+  assert.equal(observer.outcomes.length, 0);
+});
--- a/src/routing/request-tracker.ts
+++ b/src/routing/request-tracker.ts
@@ -17,6 +17,11 @@
  * retransmission timeout of callers and servers, 200 ms.
  */
 const ANSWER_IDLE_MS = 250;
+/**
+ * Time after which an unanswered request of a route without a target is discarded: its
+ * flow may have moved to another daemon.
+ */
+const MAX_PENDING_MS = 60_000;
 /** Half of the 32-bit sequence space; a number further ahead is an older one. */
 const HALF_SEQUENCE_SPACE = 2 ** 31;
 
@@ -86,6 +91,8 @@
         : startedAt + route.targetMs;
       if (dueAt <= now) {
         this.end(flow, RequestEnd.OVERDUE, now);
+      } else if (dueAt === Infinity && startedAt + MAX_PENDING_MS <= now) {
+        this.discard(flow);
       }
     });
   }
