--- a/src/feedback/evidence-spread.ts
+++ b/src/feedback/evidence-spread.ts
@@ -3,8 +3,8 @@
  * what is new to it a few times, so that it spreads like an infection; in a small one,
  * where heartbeats reach everybody, each daemon tells its own evidence only.
  *
- * A budget of bytes bounds the cost. When it falls short, what others have begun to tell
- * comes before own news: a record that reaches only a few daemons is a waste.
+ * A budget of bytes bounds the cost. When it falls short, the least told and youngest
+ * records come first, since the fewest daemons know them.
  */
 import type {EvidencePool, EvidenceRecord} from './evidence-pool.js';
 
@@ -32,7 +32,6 @@
 /** A record that is still to be told. */
 interface PendingRecord {
   readonly record: EvidenceRecord;
-  readonly isOwn: boolean;
   /** When it became known here; monotonic milliseconds. */
   readonly since: number;
   /** Copies sent so far. */
@@ -53,8 +52,8 @@
   }
 
   /** Adds a record of this daemon or of a peer that is new here. */
-  add(record: EvidenceRecord, isOwn: boolean, now: number): void {
-    this.pending.push({record, isOwn, since: now, copies: 0});
+  add(record: EvidenceRecord, now: number): void {
+    this.pending.push({record, since: now, copies: 0});
   }
 
   /** Selects the records for a heartbeat to a number of receivers. */
@@ -91,11 +90,7 @@
   }
 }
 
-/** Orders the least told records first; of those peers' before own, then the newest. */
+/** Orders the least told records first, and of those the youngest. */
 function compareUrgency(a: PendingRecord, b: PendingRecord): number {
-  return (
-    a.copies - b.copies ||
-    Number(a.isOwn) - Number(b.isOwn) ||
-    b.record.at - a.record.at
-  );
+  return a.copies - b.copies || b.record.at - a.record.at;
 }
