--- a/src/feedback/outlier-ratings.spec.ts
+++ b/src/feedback/outlier-ratings.spec.ts
@@ -103,6 +103,8 @@
 
 test('a server that fails for 3 s of every 10 s is ejected for longer each time, up to a minute', () => {
   const service = createService({
+    servers: 20,
+    requestsPerSecond: 200,
     outcomeOf: (server, now, random) =>
       failWith(
         numberOf(server) === 1 && now % 10_000 < 3_000 ? 0.8 : 0.01,
@@ -246,7 +248,7 @@
   assert.deepEqual(service.listIn(EjectionPhase.EJECTED), ['i-1']);
 });
 
-test('servers that restart or replace others amid errors are typical, and those that leave hold no place', () => {
+test('servers that restart or replace others amid errors are typical at once', () => {
   const service = createService({outcomeOf: failing(12, 0.5)});
   service.advance(4_000);
   const old = service.servers;
@@ -280,6 +282,43 @@
   assert.deepEqual(service.ejected, []);
 });
 
+test('while half of the fleet rates nothing and 21 of 84 servers fail, the load of the others stays between 1 and 1.3 times the usual', () => {
+  const service = createService({
+    unratedShare: 0.5,
+    outcomeOf: failing(21, 0.5),
+  });
+  service.advance(8_000);
+  const bad = firstIds(21);
+  Array.from({length: 10}, () => {
+    const since = service.now;
+    service.advance(5_000);
+    const load = (1 - service.shareSince(since, bad)) / 0.75;
+    assert.ok(load > 1 && load < 1.3, `${load}`);
+  });
+  assert.deepEqual(ejectedIds(service), new Set(bad));
+});
+
+test('a server that drains or leaves holds no place in the bound', () => {
+  const service = createService({servers: 10, requestsPerSecond: 100});
+  const [first, second, third, fourth] = service.servers;
+  [first, second, third].forEach(server =>
+    service.recordNow(server, FaultKind.FAILED, 20),
+  );
+  service.advance(500);
+  service.recordNow(fourth, FaultKind.FAILED, 15);
+  service.advance(500);
+  assert.deepEqual(
+    ejectedIds(service),
+    new Set([first.id, second.id, third.id]),
+  );
+  service.servers = service.servers.filter(server => server !== first);
+  service.advance(500);
+  assert.deepEqual(
+    new Set(service.listIn(EjectionPhase.EJECTED)),
+    new Set([second.id, third.id, fourth.id]),
+  );
+});
+
 test('a forgotten server is typical at once', () => {
   const service = createService({});
   service.recordNow(service.servers[0], FaultKind.FAILED, 50);
--- a/src/feedback/server-exposure.ts
+++ b/src/feedback/server-exposure.ts
@@ -7,6 +7,7 @@
 /** When each open server was first seen by its service's rater, by incarnation. */
 export class ServerExposure {
   private firstSeen = new Map<string, number>();
+  private recorded: readonly CatalogServer[] = [];
 
   private constructor(private readonly settlingMs: number) {}
 
@@ -17,9 +18,14 @@
 
   /**
    * Records the open servers at `now`, in monotonic milliseconds. The first ones recorded
-   * are settled, as nothing is known of when they were added.
+   * are settled, as nothing is known of when they were added. The same array again
+   * stands for the same servers.
    */
   record(servers: readonly CatalogServer[], now: number): void {
+    if (servers === this.recorded) {
+      return;
+    }
+    this.recorded = servers;
     const isFirst = this.firstSeen.size === 0;
     const known = this.firstSeen;
     this.firstSeen = new Map(
--- a/standins/rated-service.ts
+++ b/standins/rated-service.ts
@@ -10,6 +10,7 @@
 import {createServer} from './catalog-records.js';
 import {MemoryEvidencePool} from './memory-evidence-pool.js';
 
+const PAY = 'pay';
 const STEP_MS = 50;
 const HALF_LIFE_MS = 10_000;
 /** Time until evidence of one daemon has reached the others. */
@@ -29,6 +30,8 @@
   /** Daemons that rate on their own; undefined: one stands for all. */
   readonly daemons?: number;
   readonly requestsPerSecond: number;
+  /** Share of the requests sent by daemons that neither rate nor report; undefined: 0. */
+  readonly unratedShare?: number;
   /** Returns how a request to a server ends; undefined: well. */
   outcomeOf(
     server: CatalogServer,
@@ -63,7 +66,7 @@
   private constructor(private readonly plan: RatedServicePlan) {
     this.random = Random.create(plan.seed ?? 5);
     this.servers = Array.from({length: plan.servers}, (_server, index) =>
-      createServer(`i-${index + 1}`, 'pay'),
+      createServer(`i-${index + 1}`, PAY),
     );
     this.raters = Array.from({length: plan.daemons ?? 1}, () =>
       OutlierRatings.create({
@@ -126,14 +129,15 @@
   /** Sends a request of a random daemon to a server by that daemon's ratings. */
   private send(): void {
     const {now, random, plan} = this;
+    if (random.nextBool(plan.unratedShare ?? 0)) {
+      const server = this.servers[random.nextInt(this.servers.length)];
+      this.sent.push({server, at: now, isTrial: false});
+      return;
+    }
     const rater = this.raters[random.nextInt(this.raters.length)];
-    const admitted = this.servers.filter(
-      server => !rater.ratingOf(server, now).isEjected,
-    );
-    const kept = admitted.filter(server => {
-      const {weight} = rater.ratingOf(server, now);
-      return weight >= 1 || random.nextBool(weight);
-    });
+    const kept = rater.isNeutral(PAY, now)
+      ? this.servers
+      : this.servers.filter(each => this.isKept(each, rater));
     const server = random.pick(kept) ?? random.pick(this.servers);
     if (server === undefined) {
       return;
@@ -145,6 +149,12 @@
     }
   }
 
+  /** Whether a daemon's ratings admit a server to one choice. */
+  private isKept(server: CatalogServer, rater: OutlierRatings): boolean {
+    const {weight, isEjected} = rater.ratingOf(server, this.now);
+    return !isEjected && (weight >= 1 || this.random.nextBool(weight));
+  }
+
   private recordLater(server: CatalogServer, outcome: BadOutcome): void {
     const dueAt = this.now + outcome.afterMs + GOSSIP_MS;
     const step = Math.ceil(dueAt / STEP_MS) * STEP_MS;
