--- a/standins/faulty-fleet.ts
+++ b/standins/faulty-fleet.ts
@@ -5,6 +5,7 @@
 import type {CatalogRoute} from '../src/catalog/records.js';
 import {OutlierRatings} from '../src/feedback/outlier-ratings.js';
 import {FaultKind} from '../src/feedback/server-evidence.js';
+import {UniformRatings} from '../src/feedback/server-ratings.js';
 import type {EjectionListener} from '../src/feedback/service-rater.js';
 import type {Hasher} from '../src/ports/hasher.js';
 import {createRoute} from './catalog-records.js';
@@ -40,7 +41,10 @@
   readonly listener?: EjectionListener;
   /** Whether servers are rated; false: all equally. */
   readonly isRated: boolean;
-  /** Parts of the platform that differ, such as real ratings. */
+  /**
+   * Parts of the platform that differ; with `createRatings` undefined, daemons rate by
+   * what they and their peers observe.
+   */
   readonly platform?: Partial<SimulationPlan>;
 }
 
@@ -86,7 +90,7 @@
               listener: plan.listener ?? IGNORED,
               openServers: service => catalog.openServers(service),
             })
-        : undefined,
+        : () => UniformRatings.create(),
       onServerPacket: packet => recordFault(platform, pool, packet),
       ...plan.platform,
     },
