Ratings are created from the pooled evidence; ejected servers are not told

ServerFeedback takes a function that creates the ratings from its pool and keeps uniform ones without it. Own evidence against a server that these eject is counted but not told, which had no test so far.

--- a/src/feedback/server-feedback.spec.ts
+++ b/src/feedback/server-feedback.spec.ts
@@ -1,12 +1,19 @@
-/** Evidence in the heartbeats of fleets of 8 to 300 daemons: how far, how soon, at what cost. */
+/**
+ * Evidence in the heartbeats of fleets of 8 to 300 daemons: how far and how soon it gets,
+ * at what cost, and when none is told.
+ */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
-import {createRoute} from '../../standins/catalog-records.js';
+import {createRoute, createServer} from '../../standins/catalog-records.js';
 import {SimulatedPlatform} from '../../standins/simulated-platform.js';
 import type {CatalogServer} from '../catalog/records.js';
+import {Random} from '../routing/random.js';
 import {RequestEnd} from '../routing/request-outcome.js';
-import type {ServerFeedback} from './server-feedback.js';
+import {MemoryCounters} from '../adapters/memory-counters.js';
+import {FakeClock} from '../../standins/fake-clock.js';
+import {ServerFeedback} from './server-feedback.js';
+import {NEUTRAL_RATING, ServerRatings} from './server-ratings.js';
 
 const TARGET_MS = 500;
 const ROUTE = createRoute('pay', {
@@ -61,7 +68,7 @@
 
 /** Has a daemon observe an answered request; a short answer is a failure. */
 function observe(
-  {clock, random}: SimulatedPlatform,
+  {clock, random}: Pick<SimulatedPlatform, 'clock' | 'random'>,
   feedback: ServerFeedback,
   server: CatalogServer,
   answerBytes = 3_000,
@@ -220,3 +227,33 @@
   assert.ok(heartbeats > 20);
   assert.equal(entries, 0);
 });
+
+/** Ejects the server with the id "i-1". */
+class OneEjected extends ServerRatings {
+  ratingOf({id}: CatalogServer) {
+    return {...NEUTRAL_RATING, isEjected: id === 'i-1'};
+  }
+}
+
+test('failures of an ejected server are counted but not told', async () => {
+  const clock = FakeClock.create();
+  const feedback = ServerFeedback.create({
+    self: 1,
+    clock,
+    hasher: await XxhashHasher.create(),
+    counters: MemoryCounters.create(),
+    listServers: () => [],
+    reportDueRequests: () => {},
+    onEvidence: () => {},
+    createRatings: () => new OneEjected(),
+  });
+  const load = {clock, random: Random.create(1)};
+  const [ejected, other] = ['i-1', 'i-2'].map(id => createServer(id, 'pay'));
+  Array.from({length: 20}, () => observe(load, feedback, other));
+  observe(load, feedback, ejected, 150);
+  const now = clock.now();
+  assert.equal(feedback.pool.countFaults(ejected, now).failed, 1);
+  assert.deepEqual(feedback.selectEvidenceToGossip(3, true, now), []);
+  observe(load, feedback, other, 150);
+  assert.equal(feedback.selectEvidenceToGossip(3, true, now).length, 1);
+});
--- a/src/feedback/server-feedback.ts
+++ b/src/feedback/server-feedback.ts
@@ -41,6 +41,8 @@
   listServers(): readonly CatalogServer[];
   /** Reports requests that are answered or overdue to the observer. */
   reportDueRequests(): void;
+  /** Creates the ratings by the pooled evidence; undefined: all servers rate equally. */
+  createRatings?(pool: ServerEvidencePool): ServerRatings;
   /** Called when there is new evidence of this daemon to tell. */
   onEvidence(): void;
 }
@@ -71,7 +73,8 @@
     });
     this.pool = this.evidence;
     this.observer = this.classifier;
-    this.ratings = UniformRatings.create();
+    this.ratings =
+      options.createRatings?.(this.pool) ?? UniformRatings.create();
   }
 
   /** Creates an instance without evidence; its timer is idle until started. */
