Merge: evidence against backend servers; summaries of it reach large fleets sooner

A daemon now tells the sum of its records on a server as one record, by the reporter 0, once it is 3 faults and half as much again as the known sum. The greatest sum wins and is never added to the records, so nothing counts twice.

The test of evidence that is not told has a real ejection in place of fixed ratings. A whole fleet of 30 daemons ejects 17 of 84 servers from what it sees itself (faulty-fleet.spec).

--- a/src/feedback/evidence-pool.spec.ts
+++ b/src/feedback/evidence-pool.spec.ts
@@ -90,3 +90,55 @@
   const {failed} = pool.countFaults(SERVER, 10_000);
   assert.ok(failed > 1_500, `${failed}`);
 });
+
+/** A pool with one fault each of `reporters` peers as of `at`. */
+function createPoolOf(reporters: number, at: number): EvidencePool {
+  const pool = createPool();
+  Array.from({length: reporters}, (_reporter, index) =>
+    pool.merge(told(10, at, PEER + index), at),
+  );
+  return pool;
+}
+
+test('a summary of 20 reporters stands beside their records without counting twice', () => {
+  const summary = createPoolOf(20, 0).summarize(HASHES.of(SERVER.id), 0);
+  assert.ok(summary !== undefined);
+  const pool = createPoolOf(5, 0);
+  assert.ok(pool.merge(summary, 0));
+  assert.equal(pool.countFaults(SERVER, 0).failed, 20);
+  assert.equal(pool.summarize(HASHES.of(SERVER.id), 0), undefined);
+});
+
+test('a summary gives way to one that is half as great again, however both have decayed', () => {
+  const [few, more, many] = [10, 14, 20].map(count =>
+    createPoolOf(count, 0).summarize(HASHES.of(SERVER.id), 0),
+  );
+  assert.ok(few && more && many);
+  const pool = createPool();
+  assert.ok(pool.merge(few, 0));
+  assert.equal(pool.merge(more, 0), false);
+  assert.ok(pool.merge(many, 0));
+  assert.equal(pool.merge({...few, at: 3_000}, 3_000), false);
+});
+
+test('a summary that is relayed over several daemons, 40 ms later each time, is new once', () => {
+  const summary = createPoolOf(20, 0).summarize(HASHES.of(SERVER.id), 0);
+  assert.ok(summary !== undefined);
+  const pool = createPool();
+  assert.ok(pool.merge(summary, 0));
+  Array.from({length: 20}, (_relay, index) => (index + 1) * 40).forEach(late =>
+    assert.equal(pool.merge({...summary, at: late}, late), false),
+  );
+});
+
+test('two faults make no summary, and a restart voids one that comes late', () => {
+  assert.equal(
+    createPoolOf(2, 0).summarize(HASHES.of(SERVER.id), 0),
+    undefined,
+  );
+  const summary = createPoolOf(20, 0).summarize(HASHES.of(SERVER.id), 0);
+  const pool = createPoolOf(20, 0);
+  pool.forget(SERVER.id, 1_000);
+  assert.ok(summary !== undefined && !pool.merge(summary, 1_500));
+  assert.deepEqual(pool.countFaults(SERVER, 1_500), NO_FAULTS);
+});
--- a/src/feedback/evidence-pool.ts
+++ b/src/feedback/evidence-pool.ts
@@ -34,6 +34,12 @@
 const RESTART_SPREAD_MS = 2_000;
 /** Counts are kept in tenths of requests, as they are sent. */
 const TENTHS = 10;
+/** Stands in place of the reporter in a summary, the sum of records of all reporters. */
+const SUMMARY = 0;
+/** Sum of faults from which a summary is made: two faults may be chance. */
+const MIN_SUMMARY_FAULTS = 3;
+/** Multiple of the known summary that a greater one has to exceed to be passed on. */
+const SUMMARY_GROWTH = 1.5;
 
 /** Evidence of one reporter against one server; counts are tenths as of `at`. */
 export interface EvidenceRecord {
@@ -78,14 +84,41 @@
     if (records === undefined) {
       return NO_FAULTS;
     }
-    return records.reduce<FaultCounts>((sum, record) => {
-      const share = decayBetween(record.at, now) / TENTHS;
-      return {
-        failed: sum.failed + record.failed * share,
-        overdue: sum.overdue + record.overdue * share,
-        slow: sum.slow + record.slow * share,
-      };
-    }, NO_FAULTS);
+    const sum = sumAt(records.filter(isReport), now);
+    const told = sumAt(records.filter(isSummary), now);
+    // Both count the same faults, so they are not added up.
+    return {
+      failed: Math.max(sum.failed, told.failed),
+      overdue: Math.max(sum.overdue, told.overdue),
+      slow: Math.max(sum.slow, told.slow),
+    };
+  }
+
+  /**
+   * Makes a summary of the records on a server, given by its hash. One summary reaches
+   * all daemons sooner than the records of many reporters. Returns undefined if there are
+   * too few faults, or the known summary says about as much.
+   */
+  summarize(server: number, now: number): EvidenceRecord | undefined {
+    const records = this.byServer.get(server)?.filter(isReport) ?? [];
+    const {failed, overdue, slow} = sumAt(records, now);
+    const summary = {
+      reporter: SUMMARY,
+      server,
+      failed: Math.round(failed * TENTHS),
+      overdue: Math.round(overdue * TENTHS),
+      slow: Math.round(slow * TENTHS),
+      at: now,
+    };
+    const known = this.find(SUMMARY, server);
+    const isWorthTelling =
+      failed + overdue + slow >= MIN_SUMMARY_FAULTS &&
+      (known === undefined || isGreaterSummary(summary, known));
+    if (!isWorthTelling) {
+      return undefined;
+    }
+    this.put(summary);
+    return summary;
   }
 
   /**
@@ -127,7 +160,7 @@
       now - at > RECORD_LIFETIME_MS ||
       at < (this.voidUntil.get(server) ?? -Infinity);
     const known = this.find(reporter, server);
-    if (isVoid || (known !== undefined && !isNewer(record, known))) {
+    if (isVoid || (known !== undefined && !replaces(record, known))) {
       return false;
     }
     this.put(record);
@@ -201,6 +234,44 @@
   }
 }
 
+/** Whether a told record takes the place of the known one of the same reporter. */
+function replaces(told: EvidenceRecord, known: EvidenceRecord): boolean {
+  return isSummary(told)
+    ? isGreaterSummary(told, known)
+    : isNewer(told, known);
+}
+
+function isSummary({reporter}: EvidenceRecord): boolean {
+  return reporter === SUMMARY;
+}
+
+function isReport(record: EvidenceRecord): boolean {
+  return !isSummary(record);
+}
+
+/** Whether a summary is well above a known one, both as of the later of their times. */
+function isGreaterSummary(
+  summary: EvidenceRecord,
+  known: EvidenceRecord,
+): boolean {
+  const now = Math.max(summary.at, known.at);
+  const decayedSum = (record: EvidenceRecord) =>
+    sumOf(record) * decayBetween(record.at, now);
+  return decayedSum(summary) > decayedSum(known) * SUMMARY_GROWTH;
+}
+
+/** Returns the decayed counts of several records, in requests. */
+function sumAt(records: readonly EvidenceRecord[], now: number): FaultCounts {
+  return records.reduce<FaultCounts>((sum, record) => {
+    const share = decayBetween(record.at, now) / TENTHS;
+    return {
+      failed: sum.failed + record.failed * share,
+      overdue: sum.overdue + record.overdue * share,
+      slow: sum.slow + record.slow * share,
+    };
+  }, NO_FAULTS);
+}
+
 /**
  * Whether a told record is newer than the known one of the same reporter and server. A
  * record that was relayed seems younger than it is by the time spent on the way.
--- a/src/feedback/faulty-fleet.spec.ts
+++ b/src/feedback/faulty-fleet.spec.ts
@@ -68,6 +68,31 @@
   ),
 );
 
+test('17 of 84 servers that fail half of their requests are ejected by 30 daemons from what these see themselves, no other is, and they get less than a third of their share', async () => {
+  const fleet = await createFaultyFleet(
+    {
+      daemons: 30,
+      servers: SERVERS,
+      isRated: true,
+      platform: {createRatings: undefined, onServerPacket: undefined},
+    },
+    await XxhashHasher.create(),
+  );
+  const ids = (servers: readonly CookieServer[]) =>
+    servers.map(({entry}) => entry.id);
+  await fleet.call(CALLS_PER_SECOND, 3_000);
+  const failing = fleet.spoil(17, {failureShare: 0.5});
+  await fleet.call(CALLS_PER_SECOND, DETECTION_MS);
+  const callers = await fleet.call(CALLS_PER_SECOND, 5_000);
+  const load = relativeLoad(callers, failing);
+  assert.ok(load < 1 / 3, `${load}`);
+  const ejected = fleet.platform.logEntries
+    .filter(({event}) => event === 'server-ejected')
+    .map(({fields}) => `${fields.server}`);
+  assert.deepEqual(new Set(ejected), new Set(ids(failing)));
+  assert.deepEqual(fleet.platform.violations, []);
+});
+
 test('without ratings, servers that fail half of their requests get more than half of their share', async () => {
   const {load} = await runFaulty(8, false, FAILING);
   assert.ok(load > 0.5, `${load}`);
--- a/src/feedback/server-feedback.spec.ts
+++ b/src/feedback/server-feedback.spec.ts
@@ -1,12 +1,19 @@
-/** Evidence in the heartbeats of fleets of 8 to 300 daemons: how far, how soon, at what cost. */
+/**
+ * Evidence in the heartbeats of fleets of 8 to 300 daemons: how far and how soon it gets,
+ * at what cost, and when none is told.
+ */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
-import {createRoute} from '../../standins/catalog-records.js';
+import {createRoute, createServer} from '../../standins/catalog-records.js';
 import {SimulatedPlatform} from '../../standins/simulated-platform.js';
 import type {CatalogServer} from '../catalog/records.js';
+import {Random} from '../routing/random.js';
 import {RequestEnd} from '../routing/request-outcome.js';
-import type {ServerFeedback} from './server-feedback.js';
+import {MemoryCounters} from '../adapters/memory-counters.js';
+import {FakeClock} from '../../standins/fake-clock.js';
+import {MemoryLog} from '../../standins/memory-log.js';
+import {ServerFeedback} from './server-feedback.js';
 
 const TARGET_MS = 500;
 const ROUTE = createRoute('pay', {
@@ -65,7 +72,7 @@
 
 /** Has a daemon observe an answered request; a short answer is a failure. */
 function observe(
-  {clock, random}: SimulatedPlatform,
+  {clock, random}: Pick<SimulatedPlatform, 'clock' | 'random'>,
   feedback: ServerFeedback,
   server: CatalogServer,
   answerBytes = 3_000,
@@ -229,3 +236,37 @@
   assert.ok(heartbeats > 20);
   assert.equal(entries, 0);
 });
+
+test('failures of an ejected server are counted but not told', async () => {
+  const clock = FakeClock.create();
+  const servers = Array.from({length: 8}, (_server, index) =>
+    createServer(`i-${index}`, 'pay'),
+  );
+  const [failing, other] = servers;
+  const feedback = ServerFeedback.create({
+    self: 1,
+    clock,
+    hasher: await XxhashHasher.create(),
+    counters: MemoryCounters.create(),
+    log: MemoryLog.create('d1'),
+    openServers: () => servers,
+    listServers: () => servers,
+    reportDueRequests: () => {},
+    onEvidence: () => {},
+  });
+  const load = {clock, random: Random.create(1)};
+  Array.from({length: 20}, () => observe(load, feedback, other));
+  Array.from({length: 6}, () => observe(load, feedback, failing, 150));
+  await clock.advance(300);
+  assert.ok(feedback.ratings.ratingOf(failing, clock.now()).isEjected);
+  // Evidence of before the ejection is told for 3 s.
+  await clock.advance(3_000);
+  const now = clock.now();
+  const before = feedback.pool.countFaults(failing, now).failed;
+  observe(load, feedback, failing, 150);
+  const after = feedback.pool.countFaults(failing, now).failed;
+  assert.ok(Math.abs(after - before - 1) < 0.1, `${before}, ${after}`);
+  assert.deepEqual(feedback.selectEvidenceToGossip(3, true, now), []);
+  observe(load, feedback, other, 150);
+  assert.equal(feedback.selectEvidenceToGossip(3, true, now).length, 1);
+});
--- a/src/feedback/server-feedback.ts
+++ b/src/feedback/server-feedback.ts
@@ -125,9 +125,20 @@
     // In a small fleet the reporter's own heartbeats reach everybody.
     const relayed = isLarge ? newer : [];
     relayed.forEach(record => this.spread.add(record, now));
+    new Set(relayed.map(({server}) => server)).forEach(server =>
+      this.tellSummary(server, now),
+    );
     return relayed.length > 0;
   }
 
+  /** Tells the sum of the records on a server if it is well above the sum told so far. */
+  private tellSummary(server: number, now: number): void {
+    const summary = this.evidence.summarize(server, now);
+    if (summary !== undefined) {
+      this.spread.add(summary, now);
+    }
+  }
+
   /** Voids the evidence against servers that restarted or departed. */
   onCatalogChange({restarted, departed}: CatalogChange): void {
     const now = this.options.clock.now();
