--- a/src/feedback/evidence-pool.ts
+++ b/src/feedback/evidence-pool.ts
@@ -236,9 +236,7 @@
 
 /** Whether a told record takes the place of the known one of the same reporter. */
 function replaces(told: EvidenceRecord, known: EvidenceRecord): boolean {
-  return isSummary(told)
-    ? isGreaterSummary(told, known)
-    : isNewer(told, known);
+  return isSummary(told) ? isGreaterSummary(told, known) : isNewer(told, known);
 }
 
 function isSummary({reporter}: EvidenceRecord): boolean {
