The build of a daemon, and content that another build sends

Daemons of two builds serve side by side while one replaces the other. Nobody could see which daemon runs which build, and two kinds of content of another build had lasting effects: a reader status in an unknown state replaced the known one (the decoder passes on any number), and a peer whose digest differs for the same servers was pulled from with every heartbeat.

deploy/build.mjs declares the build, a hash over the bundle, in a line before it. The line started and weldyard status name it; with feedback heartbeats do too, and peer-build and the gauge fleet.builds tell of peers' builds. Reader statuses in unknown states are passed over; a whole list that changed nothing is asked for again after 10 s.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -5,7 +5,8 @@
  * share of a processor.
  */
 import {execFileSync} from 'node:child_process';
-import {mkdirSync, renameSync, rmSync} from 'node:fs';
+import {createHash} from 'node:crypto';
+import {mkdirSync, renameSync, rmSync, writeFileSync} from 'node:fs';
 import {build} from 'esbuild';
 
 // Another folder may be given, so that builds side by side do not meet.
@@ -15,6 +16,7 @@
 const BUNDLE = `${FOLDER}/weldyardd.${process.pid}.cjs`;
 const REHEARSAL = `${FOLDER}/rehearsal.${process.pid}.cjs`;
 const WRITTEN = `${SNAPSHOT}.${process.pid}`;
+const BUILD_DIGITS = 8;
 
 const COMMON = {
   bundle: true,
@@ -26,13 +28,26 @@
   external: ['prom-client'],
 };
 
+/**
+ * Returns a bundle after a line that declares its build: a hash over the bundle's bytes
+ * without that line, the same wherever the same sources and packages are bundled.
+ */
+function withBuild(bundle) {
+  const hash = createHash('sha256').update(bundle).digest('hex');
+  const build = hash.slice(0, BUILD_DIGITS);
+  const line = `"use strict";const WELDYARD_BUILD="${build}";\n`;
+  return Buffer.concat([Buffer.from(line), bundle]);
+}
+
 mkdirSync(FOLDER, {recursive: true});
-await build({
+const bundled = await build({
   ...COMMON,
   entryPoints: ['platform/main.ts'],
   outfile: BUNDLE,
   minify: true,
+  write: false,
 });
+writeFileSync(BUNDLE, withBuild(bundled.outputFiles[0].contents));
 await build({
   ...COMMON,
   entryPoints: ['platform/emulator/rehearsal.ts'],
--- a/src/catalog/catalog-exchange.ts
+++ b/src/catalog/catalog-exchange.ts
@@ -19,6 +19,11 @@
 /** Limits the wait until the daemon of a referral has the catalog. */
 const MAX_REFERRAL_WAIT_MS = 300;
 const MIN_RECORD_PULL_INTERVAL_MS = 1_000;
+/**
+ * Interval between pulls from peers whose list of the same revision has another digest
+ * although it holds nothing else: peers of another build may hash it differently.
+ */
+const FUTILE_PULL_INTERVAL_MS = 10_000;
 
 /** Dependencies and callbacks of `CatalogExchange`. */
 export interface CatalogExchangeOptions {
@@ -46,6 +51,10 @@
   /** Digests held and offered when a pull of records last changed nothing. */
   private lastFutileRecordPull:
     readonly [held: number, offered: number] | undefined;
+  /** Digests held and offered when a pull of the whole list last changed nothing. */
+  private lastFutilePull: readonly [held: number, offered: number] | undefined;
+  /** Until when that pull is not repeated; monotonic milliseconds. */
+  private futileUntil = -Infinity;
 
   private constructor(private readonly options: CatalogExchangeOptions) {
     this.limiter = CatalogTransferLimiter.create(options.linkMbps);
@@ -80,11 +89,15 @@
   holdsNewer(heartbeat: Beat): boolean {
     const {stamp} = this.options.catalog;
     const newerRoutes = heartbeat.routeVersion > stamp.routeVersion;
+    const isFutile =
+      this.lastFutilePull?.[0] === stamp.serverDigest &&
+      this.lastFutilePull[1] === heartbeat.serverDigest &&
+      this.options.clock.now() < this.futileUntil;
     // Equal revisions but other servers: one of the two missed a change. Comparing
     // digests makes both agree on which of them takes the other's whole list.
     const newerServers =
       heartbeat.serverRevision === stamp.serverRevision
-        ? heartbeat.serverDigest > stamp.serverDigest
+        ? heartbeat.serverDigest > stamp.serverDigest && !isFutile
         : heartbeat.serverDigest !== stamp.serverDigest &&
           heartbeat.serverRevision > stamp.serverRevision;
     return newerRoutes || newerServers;
@@ -96,13 +109,25 @@
     await this.runPull(sender, async () => {
       await this.awaitSnapshot();
       if (this.holdsNewer(heartbeat)) {
-        const {serverRevision} = catalog.stamp;
+        const {serverRevision, serverDigest: held} = catalog.stamp;
         const pullsAll = heartbeat.serverRevision === serverRevision;
-        await this.pull(sender, pullsAll, MAX_REFERRALS);
+        const listed = await this.pull(sender, pullsAll, MAX_REFERRALS);
+        if (pullsAll && listed) {
+          this.recordPulledAll(held, heartbeat.serverDigest);
+        }
       }
     });
   }
 
+  /** Records a pull of the whole list, by the digests held before and offered. */
+  private recordPulledAll(held: number, offered: number): void {
+    const {catalog, clock} = this.options;
+    if (catalog.stamp.serverDigest === held) {
+      this.lastFutilePull = [held, offered];
+      this.futileUntil = clock.now() + FUTILE_PULL_INTERVAL_MS;
+    }
+  }
+
   /**
    * Pulls records of servers with unreadable entries, if the sender holds the same list
    * of servers but other such records.
@@ -179,12 +204,15 @@
     }
   }
 
-  /** Pulls from a daemon and follows its referrals. */
+  /**
+   * Pulls from a daemon and follows its referrals; returns whether a list of servers was
+   * received.
+   */
   private async pull(
     holder: number,
     pullsAll: boolean,
     referralsLeft: number,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {channel, clock, log} = this.options;
     const deadline = clock.now() + PULL_TIMEOUT_MS;
     const update = await channel.pull(
@@ -195,17 +223,18 @@
     if (update.isErr()) {
       const cause = update.error.message;
       log.warn('pull-failed', {peer: formatIpv4(holder), cause});
-      return;
+      return false;
     }
     const {other, waitMs} = update.value;
     if (other === 0) {
       this.apply(update.value);
-    } else if (referralsLeft > 0 && other !== this.options.self) {
-      await this.sleepUntil(
-        clock.now() + Math.min(waitMs, MAX_REFERRAL_WAIT_MS),
-      );
-      await this.pull(other, pullsAll, referralsLeft - 1);
+      return update.value.servers !== undefined;
+    }
+    if (referralsLeft === 0 || other === this.options.self) {
+      return false;
     }
+    await this.sleepUntil(clock.now() + Math.min(waitMs, MAX_REFERRAL_WAIT_MS));
+    return this.pull(other, pullsAll, referralsLeft - 1);
   }
 
   private sleepUntil(time: number): Promise<void> {
--- a/src/catalog/catalog-gossip.ts
+++ b/src/catalog/catalog-gossip.ts
@@ -18,10 +18,12 @@
   encodeAge,
   decodeReaderStatus,
   encodeReaderStatus,
+  isKnownReadState,
 } from './catalog-messages.js';
 import type {Catalog} from './catalog.js';
 import {CatalogExchange} from './catalog-exchange.js';
 import type {ReaderElection} from './reader-election.js';
+import {UnknownContent} from './unknown-content.js';
 import {BootstrappingPeers} from './bootstrapping-peers.js';
 
 /** Interval between heartbeat rounds, before a jitter of 10% either way. */
@@ -60,6 +62,8 @@
   readonly random: Random;
   /** Bandwidth of the instance's link, in megabits per second. */
   readonly linkMbps: number;
+  /** Build that heartbeats name; empty: none. */
+  readonly build: string;
   /** Returns the configured addresses of other daemons, as IPv4 numbers. */
   seeds(): readonly number[];
   /** Returns this daemon's current entry for the membership views of its peers. */
@@ -75,6 +79,8 @@
   onElectionChange(): void;
   /** Called with the server load that a peer reports. */
   onLoadReport(sender: number, work: readonly ServerWork[]): void;
+  /** Called with the build that a peer names; empty: none. */
+  onPeerBuild(sender: number, build: string): void;
 }
 
 /** Exchanges heartbeats and catalog updates with the peers of one daemon. */
@@ -91,10 +97,12 @@
   private bootstrapNotices = 0;
   private bootstrapNoticeTimer: Timer | undefined;
   private hasAnnouncedCopy = false;
+  private readonly unknownContent: UnknownContent;
   private readonly startedAt: number;
 
   private constructor(private readonly options: CatalogGossipOptions) {
     this.startedAt = options.clock.now();
+    this.unknownContent = UnknownContent.create(options.log);
     this.exchange = CatalogExchange.create({
       ...options,
       self: options.self().address,
@@ -309,7 +317,7 @@
         })),
       unreadableDigest: catalog.unreadableDigest,
       evidence: [],
-      build: '',
+      build: this.options.build,
     };
   }
 
@@ -321,10 +329,11 @@
     }
     heartbeat.peers.forEach(entry => peers.merge(entry, now));
     this.options.onLoadReport(sender, heartbeat.work);
+    this.options.onPeerBuild(sender, heartbeat.build);
     this.handleReachabilityChecks(sender, heartbeat);
     const gainMs = Math.max(
       this.confirmCatalog(heartbeat, now),
-      this.mergeReaderStatuses(heartbeat, now),
+      this.mergeReaderStatuses(sender, heartbeat, now),
       this.mergeReachabilityFindings(heartbeat, now),
     );
     this.bootstrapFrom(heartbeat);
@@ -470,10 +479,21 @@
     return changes.length > 0 ? Infinity : 0;
   }
 
-  /** Merges reader statuses; returns the largest gain, as of `ReaderStatuses.merge`. */
-  private mergeReaderStatuses(heartbeat: Beat, now: number): number {
+  /**
+   * Merges reader statuses, but those in a state that this build does not know; returns
+   * the largest gain, as of `ReaderStatuses.merge`.
+   */
+  private mergeReaderStatuses(
+    sender: number,
+    heartbeat: Beat,
+    now: number,
+  ): number {
     const {election} = this.options;
-    const gains = heartbeat.reads
+    const known = heartbeat.reads.filter(({state}) => isKnownReadState(state));
+    if (known.length < heartbeat.reads.length) {
+      this.unknownContent.report(sender, 'reader state', now);
+    }
+    const gains = known
       .map(status => decodeReaderStatus(status, now))
       .map(status => election.mergePeerStatus(status, now));
     if (gains.includes(Infinity)) {
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -2,6 +2,8 @@
 import {Result, err, ok} from 'neverthrow';
 import {
   CatalogUpdate,
+  ReadState,
+  StoredSnapshot,
   type ReadMark as ReadMarkMessage,
   type RouteEntry,
   type RouteList,
@@ -21,6 +23,8 @@
 } from './records.js';
 import type {KnownRoute} from './route-table.js';
 
+/** Format of the snapshots that this build writes and reads. */
+const SNAPSHOT_FORMAT = 0;
 /** Longer durations are sent as one hour. */
 const MAX_DURATION_MS = 3_600_000;
 
@@ -43,6 +47,14 @@
   return {reader, failureDomain, capacity, state, ageMs: encodeAge(at, now)};
 }
 
+/**
+ * Whether a state is one of this build's: the decoder passes on any number, and a later
+ * build may send others.
+ */
+export function isKnownReadState(state: number): boolean {
+  return (Object.values(ReadState) as number[]).includes(state);
+}
+
 /** The inverse of `encodeReaderStatus`. */
 export function decodeReaderStatus(
   message: ReadMarkMessage,
@@ -98,7 +110,9 @@
 
 /** Encodes a whole catalog for daemons that start. */
 export function encodeSnapshot(catalog: Catalog, now: number): Uint8Array {
-  return CatalogUpdate.encode(createUpdate(catalog, NO_VERSIONS, now)).finish();
+  const {routes, servers} = createUpdate(catalog, NO_VERSIONS, now);
+  const format = SNAPSHOT_FORMAT;
+  return StoredSnapshot.encode({routes, servers, format}).finish();
 }
 
 /** The inverse of `encodeSnapshot`; the error is the cause as text. */
@@ -107,16 +121,26 @@
   now: number,
 ): Result<CatalogReading, string> {
   return Result.fromThrowable(
-    () => CatalogUpdate.decode(bytes),
+    () => StoredSnapshot.decode(bytes),
     String,
-  )().andThen(({routes, servers}) =>
-    routes === undefined || servers?.whole !== true
-      ? err('snapshot lacks routes or a complete server list')
-      : ok({
-          routes: decodeRouteList(routes),
-          servers: decodeServerList(servers, now),
-        }),
-  );
+  )().andThen(snapshot => readSnapshot(snapshot, now));
+}
+
+function readSnapshot(
+  {routes, servers, format}: StoredSnapshot,
+  now: number,
+): Result<CatalogReading, string> {
+  if (format !== SNAPSHOT_FORMAT) {
+    return err(
+      `snapshot of format ${format}; this build reads ${SNAPSHOT_FORMAT}`,
+    );
+  }
+  return routes === undefined || servers?.whole !== true
+    ? err('snapshot lacks routes or a complete server list')
+    : ok({
+        routes: decodeRouteList(routes),
+        servers: decodeServerList(servers, now),
+      });
 }
 
 function applyServerList(
--- a/src/cli/observation-commands.ts
+++ b/src/cli/observation-commands.ts
@@ -111,6 +111,7 @@
 const LOG_STATUS_HEADING = [
   'daemon',
   'state',
+  'build',
   'routes',
   'store',
   'evacuated',
@@ -125,6 +126,7 @@
   return [
     state.process,
     state.phase,
+    state.build || '-',
     String(state.routeVersion),
     state.lacksStore ? 'no answer' : 'answers',
     state.evacuated.join(' ') || '-',
--- a/src/cli/process-states.spec.ts
+++ b/src/cli/process-states.spec.ts
@@ -110,3 +110,24 @@
   ];
   assert.deepEqual(stateOf('d1', lines).evacuated, ['a']);
 });
+
+test('the build is that of the last start; a start of a build that names none has none', () => {
+  const upgraded: readonly Line[] = [
+    ['d1', 'started', {build: '0a1b2c3d'}],
+    ['d1', 'stopped'],
+    ['d1', 'started', {build: '4e5f6a7b'}],
+    ['d1', 'peer-build', {peer: '10.0.0.2', build: '0a1b2c3d'}],
+  ];
+  assert.equal(stateOf('d1', upgraded).build, '4e5f6a7b');
+  assert.equal(stateOf('d1', [...upgraded, ['d1', 'started']]).build, '');
+});
+
+test('events and fields that this build does not know change no state', () => {
+  const later: readonly Line[] = [
+    ['d1', 'event-of-a-later-build', {routeVersion: 'seven', linesLost: null}],
+  ];
+  const {lastLineMs, ...before} = stateOf('d1', HEALTHY);
+  const {lastLineMs: after, ...state} = stateOf('d1', [...HEALTHY, ...later]);
+  assert.deepEqual(state, before);
+  assert.ok(after > lastLineMs);
+});
--- a/src/cli/process-states.ts
+++ b/src/cli/process-states.ts
@@ -17,6 +17,8 @@
 export interface ProcessState {
   readonly process: string;
   readonly phase: ProcessPhase;
+  /** Build as of its last start; empty when its lines name none. */
+  readonly build: string;
   /** Time of its last line, in wall milliseconds. */
   readonly lastLineMs: number;
   readonly starts: number;
@@ -97,6 +99,7 @@
     process,
     phase:
       PHASE_AFTER_EVENT[lastOf(PHASE_AFTER_EVENT)] ?? ProcessPhase.NOT_READY,
+    build: String(details[kinds.lastIndexOf('started')]?.['build'] ?? ''),
     lastLineMs: events[events.length - 1].physicalMs,
     starts: kinds.filter(kind => kind === 'started').length,
     unplannedEnds: countUnplannedEnds(kinds),
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -9,6 +9,7 @@
 import {CatalogGossip} from '../catalog/catalog-gossip.js';
 import {UniformRatings} from '../feedback/server-ratings.js';
 import type {PeerAge} from '../generated/catalog.js';
+import {PeerBuilds} from '../membership/peer-builds.js';
 import {PeerView} from '../membership/peer-view.js';
 import type {CatalogSource} from '../ports/catalog-source.js';
 import type {Clock} from '../ports/clock.js';
@@ -37,6 +38,8 @@
 /** Settings, ports and adapters of an `EntryDaemon`. */
 export interface EntryDaemonOptions {
   readonly settings: EntrySettings;
+  /** Build of the program, in log lines and heartbeats; undefined: not named. */
+  readonly build?: string;
   readonly fabric: CookieFabric;
   readonly channel: FleetChannel;
   readonly source: CatalogSource;
@@ -54,6 +57,7 @@
 export class EntryDaemon {
   readonly catalog: Catalog;
   private readonly peers: PeerView;
+  private readonly peerBuilds: PeerBuilds;
   private readonly serverLoad: ServerLoadTracker;
   private readonly placement: Placement;
   private readonly router: CookieRouter;
@@ -74,6 +78,7 @@
     this.seeds = seeds;
     this.catalog = Catalog.create({hasher, flowLifetimeMs});
     this.peers = PeerView.create({self: address, failureDomain, random});
+    this.peerBuilds = PeerBuilds.create(options.build ?? '', options.log);
     this.serverLoad = ServerLoadTracker.create(hasher);
     this.placement = options.placement ?? LocalLoadPlacement.create();
     this.router = this.createRouter();
@@ -106,6 +111,7 @@
     log.info('started', {
       address: formatIpv4(settings.address),
       failureDomain: settings.failureDomain,
+      build: this.options.build ?? '',
       seeds: settings.seeds.length,
       ...processTimeFields(this.options.clock),
     });
@@ -133,9 +139,12 @@
 
   /** Refreshes the gauges; call it before the counters are read. */
   updateGauges(): void {
-    const {counters} = this.options;
+    const {counters, clock, settings} = this.options;
     counters.set(Metric.FLOWS_HELD, this.router.flows.size);
     counters.set(Metric.REVISION_ACTIVE, this.catalog.stamp.routeVersion);
+    if (settings.features.feedback) {
+      counters.set(Metric.FLEET_BUILDS, this.peerBuilds.count(clock.now()));
+    }
   }
 
   /**
@@ -281,7 +290,8 @@
   }
 
   private createGossip(): CatalogGossip {
-    const {channel, clock, log, random, settings} = this.options;
+    const {channel, clock, log, random, settings, build} = this.options;
+    const {feedback} = settings.features;
     return CatalogGossip.create({
       catalog: this.catalog,
       peers: this.peers,
@@ -292,6 +302,7 @@
       log,
       random,
       linkMbps: settings.linkMbps,
+      build: feedback ? (build ?? '') : '',
       seeds: () => this.seeds,
       self: () => this.describeSelf(),
       selectLoadToGossip: isLarge =>
@@ -303,6 +314,11 @@
       onElectionChange: () => this.reader.reschedule(),
       onLoadReport: (sender, work) =>
         this.serverLoad.applyPeerLoad(sender, work, clock.now()),
+      onPeerBuild: (sender, named) => {
+        if (feedback) {
+          this.peerBuilds.record(sender, named, clock.now());
+        }
+      },
     });
   }
 
--- a/src/ports/counters.ts
+++ b/src/ports/counters.ts
@@ -34,6 +34,7 @@
   STREAMS_OPENED: 'streams.opened',
   STREAMS_REFUSED: 'streams.refused',
   REVISION_ACTIVE: 'configuration.revision',
+  FLEET_BUILDS: 'fleet.builds',
   OPENING_ANSWER_MS: 'opening.answer_ms',
   REQUEST_ANSWER_MS: 'request.answer_ms',
 } as const;
