--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -29,12 +29,14 @@
 };
 
 /**
- * Returns a bundle after a line that declares its build: a hash over the bundle's bytes
- * without that line, the same wherever the same sources and packages are bundled.
+ * Prints the build and returns the bundle after a line that declares it. The build is a
+ * hash over the bundle without that line, the same wherever the same sources and packages
+ * are bundled.
  */
 function withBuild(bundle) {
   const hash = createHash('sha256').update(bundle).digest('hex');
   const build = hash.slice(0, BUILD_DIGITS);
+  process.stdout.write(`build ${build}\n`);
   const line = `"use strict";const WELDYARD_BUILD="${build}";\n`;
   return Buffer.concat([Buffer.from(line), bundle]);
 }
--- a/src/membership/peer-builds.spec.ts
+++ b/src/membership/peer-builds.spec.ts
@@ -38,6 +38,14 @@
   assert.equal(entries.length, 17);
 });
 
+test('a build that returns after an hour, as in a rollback, is logged again', () => {
+  const {builds, entries} = createBuilds();
+  [0, 59, 120].forEach(minute =>
+    builds.record(PEER, 'bbbbbbbb', minute * MINUTE_MS),
+  );
+  assert.equal(entries.length, 2);
+});
+
 test('a build that is no name of the allowed form counts as unnamed', () => {
   const {builds, entries} = createBuilds();
   builds.record(PEER, 'x'.repeat(1_000), 0);
--- a/src/membership/peer-builds.ts
+++ b/src/membership/peer-builds.ts
@@ -33,8 +33,8 @@
   /** Records the build that a peer's heartbeat names, and logs one not known yet. */
   record(peer: number, build: string, now: number): void {
     const name = nameOf(build);
+    this.removeExpired(now);
     if (!this.heardAt.has(name)) {
-      this.removeExpired(now);
       if (this.heardAt.size >= MAXIMUM_BUILDS) {
         return;
       }
