--- a/src/catalog/catalog-exchange.ts
+++ b/src/catalog/catalog-exchange.ts
@@ -21,9 +21,10 @@
 const MIN_RECORD_PULL_INTERVAL_MS = 1_000;
 /**
  * Interval between pulls from peers whose list of the same revision has another digest
- * although it holds nothing else: peers of another build may hash it differently.
+ * although it holds nothing else: peers of another build may hash it differently. Such a
+ * pull also confirms the list, which has to happen within the limit for changes.
  */
-const FUTILE_PULL_INTERVAL_MS = 10_000;
+const FUTILE_PULL_INTERVAL_MS = 2_000;
 
 /** Dependencies and callbacks of `CatalogExchange`. */
 export interface CatalogExchangeOptions {
@@ -205,8 +206,8 @@
   }
 
   /**
-   * Pulls from a daemon and follows its referrals; returns whether a list of servers was
-   * received.
+   * Pulls from a daemon and follows its referrals; returns whether that daemon itself sent
+   * its whole list of the revision held here.
    */
   private async pull(
     holder: number,
@@ -228,7 +229,13 @@
     const {other, waitMs} = update.value;
     if (other === 0) {
       this.apply(update.value);
-      return update.value.servers !== undefined;
+      const {servers} = update.value;
+      const {serverRevision} = this.options.catalog.stamp;
+      return (
+        referralsLeft === MAX_REFERRALS &&
+        servers?.whole === true &&
+        servers.revision === serverRevision
+      );
     }
     if (referralsLeft === 0 || other === this.options.self) {
       return false;
