--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -13,6 +13,7 @@
   type ServerRatings,
 } from '../feedback/server-ratings.js';
 import type {PeerAge} from '../generated/catalog.js';
+import {PeerBuilds} from '../membership/peer-builds.js';
 import {PeerView} from '../membership/peer-view.js';
 import type {CatalogSource} from '../ports/catalog-source.js';
 import type {Clock} from '../ports/clock.js';
@@ -41,6 +42,8 @@
 /** Settings, ports and adapters of an `EntryDaemon`. */
 export interface EntryDaemonOptions {
   readonly settings: EntrySettings;
+  /** Build of the program, in log lines and heartbeats; undefined: not named. */
+  readonly build?: string;
   readonly fabric: CookieFabric;
   readonly channel: FleetChannel;
   readonly source: CatalogSource;
@@ -62,6 +65,7 @@
   /** Performance feedback; undefined while the feature is off. */
   readonly feedback: ServerFeedback | undefined;
   private readonly peers: PeerView;
+  private readonly peerBuilds: PeerBuilds;
   private readonly serverLoad: ServerLoadTracker;
   private readonly placement: Placement;
   private readonly router: CookieRouter;
@@ -82,6 +86,7 @@
     this.seeds = seeds;
     this.catalog = Catalog.create({hasher, flowLifetimeMs});
     this.peers = PeerView.create({self: address, failureDomain, random});
+    this.peerBuilds = PeerBuilds.create(options.build ?? '', options.log);
     this.serverLoad = ServerLoadTracker.create(hasher);
     this.placement = options.placement ?? LocalLoadPlacement.create();
     this.feedback = settings.features.feedback
@@ -120,6 +125,7 @@
     log.info('started', {
       address: formatIpv4(settings.address),
       failureDomain: settings.failureDomain,
+      build: this.options.build ?? '',
       seeds: settings.seeds.length,
       ...processTimeFields(this.options.clock),
     });
@@ -147,10 +153,13 @@
 
   /** Refreshes the gauges; call it before the counters are read. */
   updateGauges(): void {
-    const {counters} = this.options;
+    const {counters, clock, settings} = this.options;
     counters.set(Metric.FLOWS_HELD, this.router.flows.size);
     counters.set(Metric.REVISION_ACTIVE, this.catalog.stamp.routeVersion);
     this.feedback?.updateGauges();
+    if (settings.features.feedback) {
+      counters.set(Metric.FLEET_BUILDS, this.peerBuilds.count(clock.now()));
+    }
   }
 
   /**
@@ -316,7 +325,8 @@
   }
 
   private createGossip(): CatalogGossip {
-    const {channel, clock, log, random, settings} = this.options;
+    const {channel, clock, log, random, settings, build} = this.options;
+    const {feedback} = settings.features;
     return CatalogGossip.create({
       catalog: this.catalog,
       peers: this.peers,
@@ -328,6 +338,7 @@
       log,
       random,
       linkMbps: settings.linkMbps,
+      build: feedback ? (build ?? '') : '',
       seeds: () => this.seeds,
       self: () => this.describeSelf(),
       selectLoadToGossip: isLarge =>
@@ -339,6 +350,11 @@
       onElectionChange: () => this.reader.reschedule(),
       onLoadReport: (sender, work) =>
         this.serverLoad.applyPeerLoad(sender, work, clock.now()),
+      onPeerBuild: (sender, named) => {
+        if (feedback) {
+          this.peerBuilds.record(sender, named, clock.now());
+        }
+      },
     });
   }
 
--- a/src/ports/counters.ts
+++ b/src/ports/counters.ts
@@ -45,6 +45,7 @@
   /** Verdicts on requests that were not counted. */
   EVIDENCE_DROPPED: 'evidence.dropped',
   REVISION_ACTIVE: 'configuration.revision',
+  FLEET_BUILDS: 'fleet.builds',
   OPENING_ANSWER_MS: 'opening.answer_ms',
   REQUEST_ANSWER_MS: 'request.answer_ms',
 } as const;
