--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -68,6 +68,7 @@
   const loadTracker = ServerLoadTracker.create(hasher);
   const unresponsive: string[] = [];
   const unreachable = new Set<string>();
+  const unanswered: string[] = [];
   catalog.applyServers({revision: 1, servers, evacuated: []}, clock.now());
   catalog.applyRoutes(
     {version: 1, routes: [ROUTE, DOCS], coldServices: []},
@@ -82,7 +83,7 @@
     inForceLimitMs: 3_000,
     counters: MemoryCounters.create(),
     onUnresponsive: ({id}) => unresponsive.push(id),
-    onUnanswered: () => undefined,
+    onUnanswered: ({id}) => unanswered.push(id),
     isUnreachable: id => unreachable.has(id),
     regionOf: domain => REGIONS.get(domain),
     coldLimits: {excess: 1.5, slack: 5},
@@ -90,7 +91,15 @@
     ratings: UniformRatings.create(),
     observer: undefined,
   });
-  return {clock, catalog, loadTracker, router, unresponsive, unreachable};
+  return {
+    clock,
+    catalog,
+    loadTracker,
+    router,
+    unresponsive,
+    unreachable,
+    unanswered,
+  };
 }
 
 /** Returns the cookie of a server for a destination, as daemons write it into packets. */
@@ -400,3 +409,22 @@
   assert.equal(catalog.isCold(warm, 900), false);
   assert.equal(catalog.isCold(restored, 1_200), false);
 });
+
+test('an overdue opening is reported once, and again when the backoff of its server ends', async () => {
+  const {router, clock, unanswered} = createRouter([serverOf('i-1')]);
+  const startedAt = clock.now();
+  // The second starts a backoff of 800 ms, the third finds the second overdue.
+  [0, 100, 200, 300, 400, 500, 910].forEach(time =>
+    clock.callAt(startedAt + time, () => {
+      router.decide(createPacket({sourcePort: 1_000 + time, opens: true}));
+    }),
+  );
+  await clock.advance(100);
+  assert.equal(unanswered.length, 1);
+  await clock.advance(100);
+  assert.equal(unanswered.length, 2);
+  await clock.advance(300);
+  assert.equal(unanswered.length, 2);
+  await clock.advance(410);
+  assert.equal(unanswered.length, 3);
+});
