--- a/src/feedback/evidence-spread.ts
+++ b/src/feedback/evidence-spread.ts
@@ -13,8 +13,8 @@
  * control traffic: other heartbeats take up to 2,600 and the heads of relays 300.
  */
 const BYTES_PER_SECOND = 900;
-/** Unused budget that is kept: what half a second yields. */
-const MAX_SAVED_BYTES = BYTES_PER_SECOND / 2;
+/** Unused budget that is kept, since faults come in bursts: what two seconds yield. */
+const MAX_SAVED_BYTES = 2 * BYTES_PER_SECOND;
 /** Bytes of an entry in a heartbeat. */
 const ENTRY_BYTES = 17;
 /** Limit of entries in one heartbeat, which has to fit in a datagram. */
