Ratings have a switch of their own, off: a return after the loss of all broke a rule with them

So ServerFeedback runs only with [features] ratings, which no deployment sets; the joined tests set it.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -90,7 +90,7 @@
     this.peerBuilds = PeerBuilds.create(options.build ?? '', options.log);
     this.serverLoad = ServerLoadTracker.create(hasher);
     this.placement = options.placement ?? LocalLoadPlacement.create();
-    this.feedback = settings.features.feedback
+    this.feedback = settings.features.ratings
       ? this.createFeedback()
       : undefined;
     this.router = this.createRouter();
--- a/src/entry/flow-terminator.spec.ts
+++ b/src/entry/flow-terminator.spec.ts
@@ -22,7 +22,7 @@
 const MANY_REQUESTS = 5_000;
 /** Longer than a test. */
 const LONG_WORK_MS = 30_000;
-const FEEDBACK = {feedback: true, pressure: false};
+const FEEDBACK = {feedback: true, ratings: false, pressure: false};
 
 async function createPlatform(plan: Partial<SimulationPlan> = {}) {
   return SimulatedPlatform.create(
@@ -391,7 +391,7 @@
             ],
             routes: [PAY, DOCS],
             bounds: BOUNDS,
-            features: {feedback: isOn, pressure: false},
+            features: {feedback: isOn, ratings: false, pressure: false},
             confirms: true,
           },
           hasher,
--- a/src/entry/settings-file.spec.ts
+++ b/src/entry/settings-file.spec.ts
@@ -64,7 +64,7 @@
     flowLifetimeMs: 60_000,
     inForceLimitMs: 3_000,
     coldLimits: {excess: 1.5, slack: 5},
-    features: {feedback: false, pressure: true},
+    features: {feedback: false, ratings: false, pressure: true},
   });
 });
 
@@ -78,7 +78,11 @@
 test('features are off by default', () => {
   const none = {pressure: '', base: ''};
   const {features} = read('features', none)._unsafeUnwrap();
-  assert.deepEqual(features, {feedback: false, pressure: false});
+  assert.deepEqual(features, {
+    feedback: false,
+    ratings: false,
+    pressure: false,
+  });
 });
 
 const INVALID_SETTINGS: ReadonlyArray<[string, string, Section, RegExp]> = [
--- a/src/entry/settings-file.ts
+++ b/src/entry/settings-file.ts
@@ -61,6 +61,7 @@
     },
     features: {
       feedback: reader.flag('features', 'health'),
+      ratings: reader.flag('features', 'ratings'),
       pressure: reader.flag('features', 'pressure'),
     },
   };
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -8,6 +8,8 @@
    * of unreachable ones, so that callers reconnect early.
    */
   readonly feedback: boolean;
+  /** Rates servers by evidence of the fleet: outlier ejection and weights. */
+  readonly ratings: boolean;
   /** Reserved for pacing requests by urgency while capacity is short; has no effect. */
   readonly pressure: boolean;
 }
--- a/src/entry/two-builds.spec.ts
+++ b/src/entry/two-builds.spec.ts
@@ -29,7 +29,7 @@
       services: [{name: 'pay', servers: 4, slots: 2, workMs: 20}],
       routes: [ROUTE],
       bounds: {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000},
-      features: {feedback, pressure: false},
+      features: {feedback, ratings: false, pressure: false},
     },
     await XxhashHasher.create(),
   );
--- a/src/feedback/server-feedback.spec.ts
+++ b/src/feedback/server-feedback.spec.ts
@@ -38,7 +38,7 @@
       services: [{name: 'pay', servers: SERVERS, slots: 2, workMs: 20}],
       routes: [ROUTE],
       bounds: BOUNDS,
-      features: {feedback, pressure: false},
+      features: {feedback, ratings: feedback, pressure: false},
     },
     await XxhashHasher.create(),
   );
--- a/standins/faulty-fleet.ts
+++ b/standins/faulty-fleet.ts
@@ -80,7 +80,7 @@
       services,
       routes: [route],
       bounds: BOUNDS,
-      features: {feedback: true, pressure: false},
+      features: {feedback: true, ratings: true, pressure: false},
       confirms: true,
       createRatings: plan.isRated
         ? catalog =>
--- a/standins/simulated-platform.ts
+++ b/standins/simulated-platform.ts
@@ -66,7 +66,11 @@
   1_800_000_000_000, 1_700_000_000_000,
 ];
 
-const NO_FEATURES: EntryFeatures = {feedback: false, pressure: false};
+const NO_FEATURES: EntryFeatures = {
+  feedback: false,
+  ratings: false,
+  pressure: false,
+};
 
 /** Layout of a simulated platform. */
 export interface SimulationPlan {
