Daemon's own link and faults: pacing, local fault detection

Slow links that uploads fill drop openings; each repeat went to another server and set one aside, so that the load kept itself up.

LocalFaultDetector finds that most servers in use leave packets of several callers unanswered within a second; then no server is set aside, told as silent or polled, and backoffs of the last second are revoked. A repeated opening stays with a server that answers while the link was busy or a local fault holds. All with feedback alone.

Ruled out: a margin of 1.5 standard deviations over half of the servers (fired for a quarter of 100 servers at 8 requests a second); waits of 150 ms (worse where the way in is as slow).

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -21,6 +21,7 @@
 import {ServerReachability} from '../reachability/server-reachability.js';
 import {CookieRouter} from '../routing/cookie-router.js';
 import {formatIpv4} from '../routing/ipv4.js';
+import {LocalFaultDetector} from '../routing/local-fault-detector.js';
 import {LocalLoadPlacement, type Placement} from '../routing/placement.js';
 import type {Random} from '../routing/random.js';
 import {ServerLoadTracker} from '../routing/server-load-tracker.js';
@@ -30,6 +31,7 @@
   logCatalogChange,
   processTimeFields,
 } from './log-fields.js';
+import {LinkPacer} from './link-pacer.js';
 import {PacketHandler} from './packet-handler.js';
 import {GracefulShutdown} from './graceful-shutdown.js';
 import type {EntrySettings} from './settings.js';
@@ -56,6 +58,9 @@
   private readonly peers: PeerView;
   private readonly serverLoad: ServerLoadTracker;
   private readonly placement: Placement;
+  /** Paces the packets to the instance's link; undefined without feedback. */
+  private readonly linkPacer: LinkPacer | undefined;
+  private readonly fabric: CookieFabric;
   private readonly router: CookieRouter;
   private readonly gossip: CatalogGossip;
   private readonly election: ReaderElection;
@@ -76,6 +81,8 @@
     this.peers = PeerView.create({self: address, failureDomain, random});
     this.serverLoad = ServerLoadTracker.create(hasher);
     this.placement = options.placement ?? LocalLoadPlacement.create();
+    this.linkPacer = this.createLinkPacer();
+    this.fabric = this.linkPacer ?? options.fabric;
     this.router = this.createRouter();
     this.packetHandler = this.createPacketHandler();
     this.election = this.createElection();
@@ -95,10 +102,10 @@
    * complete, since none can be routed before.
    */
   async run(): Promise<void> {
-    const {fabric, log, settings} = this.options;
+    const {log, settings} = this.options;
     this.catalog.onChange(change => this.onCatalogChange(change));
     this.onceComplete(() =>
-      fabric.onPacket(packet => this.packetHandler.handle(packet)),
+      this.fabric.onPacket(packet => this.packetHandler.handle(packet)),
     );
     // Requests the catalog first, so that the read overlaps with opening the channel.
     this.stopCallbacks.push(this.reader.start());
@@ -176,7 +183,7 @@
     this.reachability.stop();
     this.terminator.stop();
     this.stopCallbacks.forEach(callback => callback());
-    this.options.fabric.close();
+    this.fabric.close();
     log.warn('stopped', {
       flows: this.router.flows.size,
       quietMs: Math.round(clock.now() - this.packetHandler.lastPacketAt),
@@ -215,13 +222,47 @@
       ratings: UniformRatings.create(),
       observer: undefined,
       retainsPackets: settings.features.feedback,
+      localFaults: this.createLocalFaultDetector(),
     });
   }
 
+  private createLinkPacer(): LinkPacer | undefined {
+    const {fabric, clock, counters, log, settings} = this.options;
+    return settings.features.feedback
+      ? LinkPacer.create({
+          fabric,
+          linkMbps: settings.linkMbps,
+          clock,
+          counters,
+          log,
+          onDropped: packet => this.router.flows.forgetData(packet),
+        })
+      : undefined;
+  }
+
+  private createLocalFaultDetector(): LocalFaultDetector | undefined {
+    const {clock, counters, log} = this.options;
+    const {linkPacer, catalog, serverLoad} = this;
+    return (
+      linkPacer &&
+      LocalFaultDetector.create({
+        clock,
+        counters,
+        log,
+        allServers: () => catalog.allServers(),
+        isInUse: (id, time) => serverLoad.isInUse(id, time),
+        lastAnsweredAt: id => serverLoad.lastAnsweredAt(id),
+        newestAnswerAt: () => serverLoad.newestAnswerAt,
+        wasLinkBusySince: time => linkPacer.wasBusySince(time),
+        onFault: time => this.revokeBackoffs(time),
+      })
+    );
+  }
+
   private createPacketHandler(): PacketHandler {
-    const {fabric, counters, clock, log} = this.options;
+    const {counters, clock, log} = this.options;
     return PacketHandler.create({
-      fabric,
+      fabric: this.fabric,
       counters,
       clock,
       log,
@@ -270,6 +311,7 @@
     const {catalog, router, serverLoad, packetHandler, reachability} = this;
     return FlowTerminator.create({
       ...this.options,
+      fabric: this.fabric,
       isEnabled: settings.features.feedback,
       linkMbps: settings.linkMbps,
       catalog,
@@ -342,6 +384,12 @@
     this.gossip.announce();
   }
 
+  /** Ends the backoffs begun since `time`, and tells the peers. */
+  private revokeBackoffs(time: number): void {
+    this.serverLoad.revokeBackoffs(time);
+    this.gossip.announce();
+  }
+
   /** Logs a change, passes it on, and drops the load records of departed servers. */
   private onCatalogChange(change: CatalogChange): void {
     logCatalogChange(this.options.log, change, this.versionFields());
--- a/src/ports/counters.ts
+++ b/src/ports/counters.ts
@@ -36,6 +36,15 @@
   REVISION_ACTIVE: 'configuration.revision',
   OPENING_ANSWER_MS: 'opening.answer_ms',
   REQUEST_ANSWER_MS: 'request.answer_ms',
+  /** Packets that waited for this instance's link. */
+  LINK_PACED: 'link.paced',
+  /** Packets dropped since they would have waited for the link too long. */
+  LINK_DROPPED: 'link.dropped',
+  LINK_WAIT_MS: 'link.wait_ms',
+  /** Times at which unanswered packets were put down to this daemon. */
+  LOCAL_FAULTS: 'local.faults',
+  /** Unanswered packets that no server was blamed for. */
+  LOCAL_UNANSWERED: 'local.unanswered',
 } as const;
 /** One of the names in `Metric`. */
 export type Metric = (typeof Metric)[keyof typeof Metric];
--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -16,11 +16,13 @@
   CookieVerdict,
   type CookieDecision,
 } from './cookie-router.js';
+import {LocalFaultDetector} from './local-fault-detector.js';
 import {LeastLoadedPlacement} from './placement.js';
 import {Random} from './random.js';
 import {ServerLoadTracker} from './server-load-tracker.js';
 import {createRoute} from '../../standins/catalog-records.js';
 import {createPacket} from '../../standins/cookie-packets.js';
+import {MemoryLog} from '../../standins/memory-log.js';
 
 const hasher = await XxhashHasher.create();
 const ADDRESS = 0xc6120001;
@@ -59,7 +61,10 @@
   };
 }
 
-function createRouter(servers: readonly CatalogServer[]) {
+function createRouter(
+  servers: readonly CatalogServer[],
+  localFaults?: LocalFaultDetector,
+) {
   const clock = FakeClock.create();
   const catalog = Catalog.create({
     hasher,
@@ -89,6 +94,7 @@
     countDaemons: () => 8,
     ratings: UniformRatings.create(),
     observer: undefined,
+    localFaults,
   });
   return {clock, catalog, loadTracker, router, unresponsive, unreachable};
 }
@@ -400,3 +406,55 @@
   assert.equal(catalog.isCold(warm, 900), false);
   assert.equal(catalog.isCold(restored, 1_200), false);
 });
+
+/** Creates a detector of a daemon whose link is busy; no server has ever answered. */
+function createBusyLink(busySince: number, answeredAt = -Infinity) {
+  return LocalFaultDetector.create({
+    clock: FakeClock.create(),
+    counters: MemoryCounters.create(),
+    log: MemoryLog.create('d', []),
+    allServers: () => [],
+    isInUse: () => true,
+    lastAnsweredAt: () => -Infinity,
+    newestAnswerAt: () => answeredAt,
+    wasLinkBusySince: time => time <= busySince,
+    onFault: () => undefined,
+  });
+}
+
+test('an opening that is repeated while the link is busy stays with its server, which is not blamed', () => {
+  const servers = [serverOf('i-1'), serverOf('i-2'), serverOf('i-3')];
+  const {router, unresponsive} = createRouter(
+    servers,
+    createBusyLink(Infinity),
+  );
+  const targets = [0, 1, 2].map(openAttempt =>
+    serverIn(router.decide(createPacket({opens: true, openAttempt}))),
+  );
+  assert.equal(new Set(targets).size, 1);
+  assert.deepEqual(unresponsive, []);
+});
+
+test('it goes elsewhere when the link was not busy, only other servers answer, or its server drains', () => {
+  const servers = [serverOf('i-1'), serverOf('i-2')];
+  const targetsOf = (detector: LocalFaultDetector, drains = false) => {
+    const {router, catalog, clock} = createRouter(servers, detector);
+    const first = serverIn(router.decide(createPacket({opens: true})));
+    if (drains) {
+      const changed = servers.map(server =>
+        server.id === first
+          ? {...serverOf(first, 'pay', 'draining'), revision: 2}
+          : server,
+      );
+      catalog.applyServers(
+        {revision: 2, servers: changed, evacuated: []},
+        clock.now(),
+      );
+    }
+    const packet = createPacket({opens: true, openAttempt: 1});
+    return new Set([first, serverIn(router.decide(packet))]);
+  };
+  assert.equal(targetsOf(createBusyLink(-Infinity)).size, 2);
+  assert.equal(targetsOf(createBusyLink(Infinity, Infinity)).size, 2);
+  assert.equal(targetsOf(createBusyLink(Infinity), true).size, 2);
+});
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -92,8 +92,8 @@
       requestTracker: this.requestTracker,
       retainedPackets:
         retainsPackets === true ? RetainedPackets.create() : undefined,
-      onUnanswered: server =>
-        this.serverSelector.recordUnanswered(server, clock.now()),
+      onUnanswered: (server, caller) =>
+        this.serverSelector.recordUnanswered(server, caller, clock.now()),
     });
   }
 
@@ -206,7 +206,8 @@
 
   /**
    * Selects a server for an opening packet. A retransmitted one counts against the server
-   * that was tried last, and goes to another; once the flow is open, to the flow's server.
+   * that was tried last, and goes to another, unless this daemon's own link or fault may be
+   * the cause; once the flow is open, to the flow's server.
    */
   private routeOpening(
     packet: CookiePacket,
@@ -220,10 +221,9 @@
     }
     const triedServers =
       flow === undefined || flow.isOpen ? [] : flow.triedServers;
-    triedServers
-      .slice(-1)
-      .forEach(last => this.serverSelector.recordUnanswered(last, now));
-    const server = this.serverSelector.select(route, triedServers, now);
+    const server =
+      this.retryLast(packet, triedServers, flow?.openingSentAt ?? now) ??
+      this.selectOther(packet, route, triedServers);
     const cookie =
       server === undefined ? undefined : catalog.cookieOf(server, route);
     if (server === undefined || cookie === undefined) {
@@ -234,6 +234,44 @@
     return {verdict: CookieVerdict.FORWARD, server, cookie};
   }
 
+  /**
+   * Returns the server tried last if it still takes flows and the opening packet that it got
+   * at `sentAt` may be lost through this daemon; undefined otherwise.
+   */
+  private retryLast(
+    packet: CookiePacket,
+    triedServers: readonly CatalogServer[],
+    sentAt: number,
+  ): CatalogServer | undefined {
+    const {localFaults, catalog} = this.options;
+    const last = triedServers.at(-1);
+    if (last === undefined || localFaults?.shouldStay(last, sentAt) !== true) {
+      return undefined;
+    }
+    const server = catalog
+      .openServers(last.service)
+      .find(({id}) => id === last.id && !this.options.isUnreachable(id));
+    if (server !== undefined) {
+      localFaults.recordUnanswered(server, packet.sourceAddress);
+    }
+    return server;
+  }
+
+  /** Records the server tried last as unanswering, and selects another one. */
+  private selectOther(
+    {sourceAddress}: CookiePacket,
+    route: KnownRoute,
+    triedServers: readonly CatalogServer[],
+  ): CatalogServer | undefined {
+    const now = this.options.clock.now();
+    triedServers
+      .slice(-1)
+      .forEach(last =>
+        this.serverSelector.recordUnanswered(last, sourceAddress, now),
+      );
+    return this.serverSelector.select(route, triedServers, now);
+  }
+
   /** Forwards a retransmitted opening packet of an open flow to the flow's server. */
   private forwardLateOpening(
     server: CatalogServer,
--- a/src/routing/flow-tracker.ts
+++ b/src/routing/flow-tracker.ts
@@ -72,8 +72,11 @@
   readonly requestTracker: RequestTracker | undefined;
   /** Selects the packets to retain; undefined: none are retained. */
   readonly retainedPackets: RetainedPackets | undefined;
-  /** Called when a retransmission shows that a server left a packet unanswered. */
-  onUnanswered(server: CatalogServer): void;
+  /**
+   * Called when a retransmission shows that a server left a packet of a caller, by IPv4
+   * address, unanswered.
+   */
+  onUnanswered(server: CatalogServer, caller: number): void;
 }
 
 /** The flows that recently passed one daemon. */
@@ -232,6 +235,14 @@
     return server;
   }
 
+  /** Notes that a data packet was dropped here, so that its repeat is no retransmission. */
+  forgetData(packet: CookiePacket): void {
+    const flow = this.find(packet);
+    if (flow !== undefined && flow.lastDataSequence === packet.sequence) {
+      flow.lastDataSequence = NO_SEQUENCE;
+    }
+  }
+
   /** Adds a flow whose opening this daemon did not see, if there is room. */
   private addOpenFlow(
     packet: CookiePacket,
@@ -295,7 +306,7 @@
     const isRetransmission = packet.sequence === flow.lastDataSequence;
     flow.lastDataSequence = packet.sequence;
     if (isRetransmission) {
-      this.options.onUnanswered(flow.server);
+      this.options.onUnanswered(flow.server, packet.sourceAddress);
     }
   }
 
--- /dev/null
+++ b/src/routing/local-fault-detector.spec.ts
@@ -0,0 +1,160 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {MemoryCounters} from '../adapters/memory-counters.js';
+import {XxhashHasher} from '../adapters/xxhash-hasher.js';
+import type {CatalogServer} from '../catalog/records.js';
+import {FakeClock} from '../../standins/fake-clock.js';
+import {MemoryLog, type LogEntry} from '../../standins/memory-log.js';
+import {LocalFaultDetector} from './local-fault-detector.js';
+import {Random} from './random.js';
+import {ServerLoadTracker} from './server-load-tracker.js';
+
+const hasher = await XxhashHasher.create();
+/** Time after which a caller repeats a packet. */
+const RETRANSMIT_MS = 200;
+const ANSWER_MS = 10;
+const CALLERS = 50;
+
+function createServers(counts: readonly number[]): CatalogServer[] {
+  return counts.flatMap((count, service) =>
+    Array.from({length: count}, (_, index) => ({
+      id: `i-${service}-${index}`,
+      service: `service-${service}`,
+      address: service * 1_000 + index,
+      port: 80,
+      failureDomain: 'a',
+      slots: 2,
+      state: 'ready' as const,
+      coldUntil: 0,
+      createdRevision: 1,
+      revision: 1,
+      startTime: 0,
+    })),
+  );
+}
+
+/** A daemon that sends requests to random servers. */
+function createDaemon(counts: readonly number[], seed: number) {
+  const clock = FakeClock.create();
+  const random = Random.create(seed);
+  const serverLoad = ServerLoadTracker.create(hasher);
+  const entries: LogEntry[] = [];
+  const servers = createServers(counts);
+  const faults: number[] = [];
+  const detector = LocalFaultDetector.create({
+    clock,
+    counters: MemoryCounters.create(),
+    log: MemoryLog.create('d', entries),
+    allServers: () => servers,
+    isInUse: (id, time) => serverLoad.isInUse(id, time),
+    lastAnsweredAt: id => serverLoad.lastAnsweredAt(id),
+    newestAnswerAt: () => serverLoad.newestAnswerAt,
+    wasLinkBusySince: () => false,
+    onFault: time => faults.push(time),
+  });
+  const after = (ms: number, task: () => void) =>
+    clock.callAt(clock.now() + ms, task);
+  const send = (
+    isLost: (server: CatalogServer, caller: number) => boolean,
+    caller = random.nextInt(CALLERS),
+  ) => {
+    const server = servers[random.nextInt(servers.length)];
+    serverLoad.adjustInFlight(server.id, 1);
+    const isAnswered = !isLost(server, caller);
+    after(isAnswered ? ANSWER_MS : RETRANSMIT_MS, () => {
+      serverLoad.adjustInFlight(server.id, -1);
+      if (isAnswered) {
+        serverLoad.recordAnswered(server.id, clock.now());
+      } else {
+        detector.recordUnanswered(server, caller);
+      }
+    });
+  };
+  /** Sends `rate` requests a second for a while. */
+  const run = async (
+    durationMs: number,
+    rate: number,
+    isLost: (server: CatalogServer, caller: number) => boolean,
+  ) => {
+    for (let sent = 0; sent < (durationMs * rate) / 1_000; sent += 1) {
+      send(isLost);
+      await clock.advance(1_000 / rate);
+    }
+  };
+  return {clock, random, servers, detector, entries, faults, run, send};
+}
+
+[14, 20, 25, 40].forEach(percent =>
+  [10, 25, 100].forEach(count =>
+    [8, 30, 100].forEach(rate =>
+      test(`${percent}% of one service's ${count} servers silent for 20 s, ${rate} requests a second: no local fault`, async () => {
+        const daemon = createDaemon([count], percent + count + rate);
+        const dead = new Set(
+          daemon.servers.slice(0, Math.floor((count * percent) / 100)),
+        );
+        await daemon.run(2_000, rate, () => false);
+        await daemon.run(20_000, rate, server => dead.has(server));
+        assert.deepEqual(daemon.entries, []);
+      }),
+    ),
+  ),
+);
+
+test('a service of 1 to 3 servers that is silent altogether, alone or beside others: no local fault', async () => {
+  for (const counts of [[1], [2], [3], [3, 20], [1, 1, 25]]) {
+    const daemon = createDaemon(counts, 3);
+    await daemon.run(10_000, 100, ({service}) => service === 'service-0');
+    assert.deepEqual(daemon.entries, [], `${counts}`);
+  }
+});
+
+test('a large service that is silent altogether beside two smaller ones: no local fault', async () => {
+  const daemon = createDaemon([40, 6, 6], 4);
+  await daemon.run(10_000, 100, ({service}) => service === 'service-0');
+  assert.deepEqual(daemon.entries, []);
+});
+
+test('one caller that repeats 40 packets a second to all 25 servers: no local fault', async () => {
+  const daemon = createDaemon([25], 5);
+  for (let turn = 0; turn < 400; turn += 1) {
+    daemon.send(() => true, 99);
+    daemon.send(() => false);
+    await daemon.clock.advance(25);
+  }
+  assert.deepEqual(daemon.entries, []);
+});
+
+[[25], [10, 8, 7], [60, 40]].forEach(counts =>
+  test(`a link that loses 60% of the packets to services of ${counts} servers: found within 1 s, over within 2.5 s`, async () => {
+    const daemon = createDaemon(counts, 6);
+    await daemon.run(3_000, 120, () => false);
+    const startedAt = daemon.clock.now();
+    await daemon.run(4_000, 120, () => daemon.random.next() < 0.6);
+    assert.ok(daemon.detector.isActive);
+    assert.ok(daemon.faults[0] - startedAt <= 0, `${daemon.faults[0]}`);
+    await daemon.run(2_500, 120, () => false);
+    assert.ok(!daemon.detector.isActive);
+    const events = daemon.entries.map(({event}) => event);
+    assert.deepEqual(events, ['local-fault', 'local-fault-over']);
+  }),
+);
+
+test('a partition from four fifths of 25 servers: found, openings leave the silent servers', async () => {
+  const daemon = createDaemon([25], 7);
+  const dead = new Set(daemon.servers.slice(0, 20));
+  await daemon.run(2_000, 100, () => false);
+  await daemon.run(2_000, 100, server => dead.has(server));
+  const {detector, servers, clock} = daemon;
+  assert.ok(detector.isActive);
+  assert.ok(!detector.recordUnanswered(servers[0], 1));
+  assert.ok(!detector.shouldStay(servers[0], clock.now()));
+  assert.ok(detector.shouldStay(servers[24], clock.now()));
+});
+
+test('a partition from all servers: openings stay', async () => {
+  const daemon = createDaemon([25], 8);
+  await daemon.run(2_000, 100, () => false);
+  await daemon.run(2_000, 100, () => true);
+  assert.ok(daemon.detector.isActive);
+  assert.ok(daemon.detector.shouldStay(daemon.servers[0], 0));
+});
--- /dev/null
+++ b/src/routing/local-fault-detector.ts
@@ -0,0 +1,206 @@
+/**
+ * Tells faults of this daemon's own link, processor or network from faults of servers. When
+ * most of the servers in use leave packets of several callers unanswered within a second,
+ * the cause is common to them: this daemon. Used by `ServerSelector` and `CookieRouter`.
+ */
+import type {CatalogServer} from '../catalog/records.js';
+import type {Clock} from '../ports/clock.js';
+import {Metric, type Counters} from '../ports/counters.js';
+import type {Log} from '../ports/log.js';
+
+/** Time in which unanswered packets are compared with the servers in use. */
+const WINDOW_MS = 1_000;
+/** Fewer servers than this may all be at fault at once. */
+const MIN_SERVERS = 6;
+/** Time for which a busy link may delay answers: callers then repeat openings. */
+const LINK_DELAY_MS = 200;
+/** Share of the servers in use that must leave packets unanswered. */
+const MIN_SERVER_SHARE = 2 / 3;
+/** Share of the servers of a service that may be at fault themselves. */
+const MAX_SERVER_FAULT_SHARE = 0.4;
+/**
+ * Margin above that share for a sample of the servers, per square root of its size: 3.7
+ * standard deviations, exceeded by chance in one of 10,000 samples.
+ */
+const SAMPLING_MARGIN = 1.8;
+/** Maximum share of these servers whose packets came from a single caller. */
+const MAX_CALLER_SHARE = 0.5;
+/** Minimum time between two evaluations, which visit all servers. */
+const EVALUATION_INTERVAL_MS = 25;
+
+/** A packet that a server left unanswered. */
+interface UnansweredPacket {
+  /** IPv4 address of its caller as an unsigned number. */
+  readonly caller: number;
+  /** When the caller repeated it; monotonic milliseconds. */
+  readonly at: number;
+}
+
+/** Dependencies and callbacks of a `LocalFaultDetector`. */
+export interface LocalFaultDetectorOptions {
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly log: Log;
+  /** Returns the servers that may be in use. */
+  allServers(): readonly CatalogServer[];
+  /** Whether a server has requests of this daemon or answered one at or after `time`. */
+  isInUse(server: string, time: number): boolean;
+  /** Monotonic milliseconds at which a server last answered a caller here. */
+  lastAnsweredAt(server: string): number;
+  /** Monotonic milliseconds at which any server last answered a caller here. */
+  newestAnswerAt(): number;
+  /** Whether packets waited for this instance's link at or after `time`. */
+  wasLinkBusySince(time: number): boolean;
+  /** Called when a fault begins; servers were blamed for it since `time`. */
+  onFault(time: number): void;
+}
+
+/** Decides whether unanswered packets are this daemon's own fault. */
+export class LocalFaultDetector {
+  /** The last unanswered packet of each server, by its id. */
+  private readonly unanswered = new Map<string, UnansweredPacket>();
+  private nextEvaluationAt = -Infinity;
+  /** When the fault ends unless it is found again; monotonic milliseconds. */
+  private faultUntil = -Infinity;
+  private isFaulty = false;
+
+  private constructor(private readonly options: LocalFaultDetectorOptions) {}
+
+  /** Creates a detector that has seen no unanswered packet. */
+  static create(options: LocalFaultDetectorOptions): LocalFaultDetector {
+    return new LocalFaultDetector(options);
+  }
+
+  /** Whether a local fault holds now. */
+  get isActive(): boolean {
+    return this.options.clock.now() < this.faultUntil;
+  }
+
+  /** Whether answers may be late because of this daemon. */
+  get delaysAnswers(): boolean {
+    const {clock, wasLinkBusySince} = this.options;
+    return this.isActive || wasLinkBusySince(clock.now() - LINK_DELAY_MS);
+  }
+
+  /**
+   * Records that a server left a packet of a caller unanswered. Returns whether the server
+   * is to blame.
+   */
+  recordUnanswered({id}: CatalogServer, caller: number): boolean {
+    const now = this.options.clock.now();
+    this.unanswered.set(id, {caller, at: now});
+    if (this.unanswered.size >= MIN_SERVERS && now >= this.nextEvaluationAt) {
+      this.nextEvaluationAt = now + EVALUATION_INTERVAL_MS;
+      this.evaluate(now);
+    }
+    if (this.isActive) {
+      this.options.counters.add(Metric.LOCAL_UNANSWERED);
+    }
+    return !this.isActive;
+  }
+
+  /**
+   * Whether an opening packet that went to a server at `sentAt`, and is repeated now, should
+   * go there again: it may have been lost on this daemon's link, and the server answers, or
+   * none does.
+   */
+  shouldStay({id}: CatalogServer, sentAt: number): boolean {
+    const {clock, lastAnsweredAt, wasLinkBusySince} = this.options;
+    const since = clock.now() - WINDOW_MS;
+    const isOwnFault = this.isActive || wasLinkBusySince(sentAt);
+    const hasAnswers = this.options.newestAnswerAt() >= since;
+    return isOwnFault && (lastAnsweredAt(id) >= since || !hasAnswers);
+  }
+
+  private evaluate(now: number): void {
+    this.removeOlderThan(now - WINDOW_MS);
+    if (!this.isCommonCause(now - WINDOW_MS)) {
+      return;
+    }
+    this.faultUntil = now + WINDOW_MS;
+    if (!this.isFaulty) {
+      this.begin(now);
+    }
+  }
+
+  private removeOlderThan(time: number): void {
+    [...this.unanswered]
+      .filter(([, {at}]) => at < time)
+      .forEach(([server]) => this.unanswered.delete(server));
+  }
+
+  /** Whether servers, services and callers are affected alike. */
+  private isCommonCause(since: number): boolean {
+    const {unanswered} = this;
+    const servers = this.options.allServers();
+    const inUse = servers.filter(
+      ({id}) => unanswered.has(id) || this.options.isInUse(id, since),
+    );
+    const affected = inUse.filter(({id}) => unanswered.has(id));
+    const minAffected = minAffectedServers(inUse.length, servers.length);
+    return (
+      affected.length >= minAffected &&
+      areMostServicesAffected(inUse, affected) &&
+      this.largestCallerShare(affected) <= MAX_CALLER_SHARE
+    );
+  }
+
+  /** Returns the share of the servers whose last unanswered packet is of one caller. */
+  private largestCallerShare(affected: readonly CatalogServer[]): number {
+    const counts = countBy(
+      affected.map(({id}) => this.unanswered.get(id)?.caller),
+    );
+    return Math.max(...counts.values()) / affected.length;
+  }
+
+  private begin(now: number): void {
+    const {counters, log} = this.options;
+    this.isFaulty = true;
+    counters.add(Metric.LOCAL_FAULTS);
+    log.warn('local-fault', {servers: this.unanswered.size});
+    this.options.onFault(now - WINDOW_MS);
+    this.awaitEnd();
+  }
+
+  private awaitEnd(): void {
+    const {clock, log} = this.options;
+    clock.callAt(this.faultUntil, () => {
+      if (this.isActive) {
+        this.awaitEnd();
+        return;
+      }
+      this.isFaulty = false;
+      log.warn('local-fault-over');
+    });
+  }
+}
+
+/** Returns how many of the servers in use servers' own faults cannot account for. */
+function minAffectedServers(inUse: number, all: number): number {
+  const unsampledShare = (all - inUse) / Math.max(1, all - 1);
+  const margin = SAMPLING_MARGIN * Math.sqrt(inUse * unsampledShare);
+  return Math.max(
+    MIN_SERVERS,
+    inUse * MIN_SERVER_SHARE,
+    inUse * MAX_SERVER_FAULT_SHARE + margin,
+  );
+}
+
+/** Whether at least half of the servers are affected in more than half of the services. */
+function areMostServicesAffected(
+  inUse: readonly CatalogServer[],
+  affected: readonly CatalogServer[],
+): boolean {
+  const inUseCounts = countBy(inUse.map(({service}) => service));
+  const affectedCounts = countBy(affected.map(({service}) => service));
+  const affectedServices = [...inUseCounts].filter(
+    ([service, count]) => (affectedCounts.get(service) ?? 0) * 2 >= count,
+  );
+  return affectedServices.length * 2 > inUseCounts.size;
+}
+
+function countBy<T>(keys: readonly T[]): Map<T, number> {
+  const counts = new Map<T, number>();
+  keys.forEach(key => counts.set(key, (counts.get(key) ?? 0) + 1));
+  return counts;
+}
--- a/src/routing/server-load-tracker.ts
+++ b/src/routing/server-load-tracker.ts
@@ -36,6 +36,8 @@
   inFlight: number;
   /** Backoffs since it last answered. */
   backoffCount: number;
+  /** When its last backoff began. */
+  backoffStartedAt: number;
   /** When it may get new flows again. */
   backoffUntil: number;
   /** When the oldest unanswered opening packet was sent; Infinity: none. */
@@ -61,6 +63,8 @@
 
 /** Load and responsiveness of the servers that one daemon sends to. */
 export class ServerLoadTracker {
+  /** When a server last answered; monotonic milliseconds. */
+  newestAnswerAt = -Infinity;
   private readonly observed = new Map<number, ServerObservation>();
   private readonly peerReports = new Map<number, PeerLoadReport>();
   /** Moving average of the time from an opening packet to the caller's next packet. */
@@ -96,6 +100,7 @@
   recordAnswered(server: string, now: number): void {
     const state = this.observationOf(server);
     state.answeredAt = now;
+    this.newestAnswerAt = now;
     state.openingSentAt = Infinity;
     state.backoffCount = 0;
     state.backoffUntil = -Infinity;
@@ -113,10 +118,38 @@
     state.openingSentAt = Infinity;
     const backoffMs = INITIAL_BACKOFF_MS * 2 ** state.backoffCount;
     state.backoffCount += 1;
+    state.backoffStartedAt = now;
     state.backoffUntil = now + Math.min(backoffMs, MAX_BACKOFF_MS);
     return true;
   }
 
+  /** Ends the backoffs that began at or after `time`, as if they had not. */
+  revokeBackoffs(time: number): void {
+    [...this.observed.values()]
+      .filter(({backoffStartedAt}) => backoffStartedAt >= time)
+      .forEach(state => {
+        state.backoffCount = Math.max(0, state.backoffCount - 1);
+        state.backoffStartedAt = -Infinity;
+        state.backoffUntil = -Infinity;
+      });
+  }
+
+  /** Expects no answer to the opening packets sent to a server so far. */
+  discardOpenings(server: string): void {
+    this.observationOf(server).openingSentAt = Infinity;
+  }
+
+  /** Whether a server has requests in flight from this daemon, or answered since `time`. */
+  isInUse(server: string, time: number): boolean {
+    const state = this.observed.get(this.hashes.of(server));
+    return (
+      state !== undefined &&
+      (state.inFlight > 0 ||
+        state.openingSentAt < Infinity ||
+        state.answeredAt >= time)
+    );
+  }
+
   /** Whether the answer to an opening packet is overdue. */
   hasOverdueOpening(server: string, now: number): boolean {
     const state = this.observed.get(this.hashes.of(server));
@@ -217,6 +250,7 @@
     const created = {
       inFlight: 0,
       backoffCount: 0,
+      backoffStartedAt: -Infinity,
       backoffUntil: -Infinity,
       openingSentAt: Infinity,
       answeredAt: -Infinity,
--- a/src/routing/server-selector.ts
+++ b/src/routing/server-selector.ts
@@ -8,6 +8,7 @@
 import type {KnownRoute} from '../catalog/route-table.js';
 import type {ServerRatings} from '../feedback/server-ratings.js';
 import {ColdStartLimiter, type ColdStartLimits} from './cold-start-limiter.js';
+import type {LocalFaultDetector} from './local-fault-detector.js';
 import type {Candidate, Placement} from './placement.js';
 import type {Random} from './random.js';
 import type {ServerLoadTracker} from './server-load-tracker.js';
@@ -38,6 +39,8 @@
   readonly coldLimits: ColdStartLimits;
   /** Returns how many daemons open flows; undefined while that is not known. */
   countDaemons(): number | undefined;
+  /** Finds faults of this daemon itself; undefined: servers are blamed for all. */
+  readonly localFaults?: LocalFaultDetector;
 }
 
 /** Selects servers for the new flows of one daemon. */
@@ -141,15 +144,23 @@
     return [...tail, ...servers.slice(0, MAX_CANDIDATES - tail.length)];
   }
 
-  /** Records servers with an overdue answer to an opening packet as unresponsive. */
+  /**
+   * Records servers with an overdue answer to an opening packet as unresponsive, unless the
+   * delay may be this daemon's own.
+   */
   private recordOverdueOpenings(
     servers: readonly CatalogServer[],
     now: number,
   ): void {
-    const {loadTracker} = this.options;
-    servers
-      .filter(({id}) => loadTracker.hasOverdueOpening(id, now))
-      .forEach(server => this.recordUnanswered(server, now));
+    const {loadTracker, localFaults} = this.options;
+    const overdue = servers.filter(({id}) =>
+      loadTracker.hasOverdueOpening(id, now),
+    );
+    if (overdue.length > 0 && localFaults?.delaysAnswers === true) {
+      overdue.forEach(({id}) => loadTracker.discardOpenings(id));
+    } else {
+      overdue.forEach(server => this.blame(server, now));
+    }
   }
 
   /**
@@ -218,8 +229,16 @@
     return route.shares[Math.max(0, index)]?.service ?? '';
   }
 
-  /** Records a packet left unanswered and reports a server that became unresponsive. */
-  recordUnanswered(server: CatalogServer, now: number): void {
+  /** Records that a server left a packet of a caller, by IPv4 address, unanswered. */
+  recordUnanswered(server: CatalogServer, caller: number, now: number): void {
+    const {localFaults} = this.options;
+    if (localFaults?.recordUnanswered(server, caller) !== false) {
+      this.blame(server, now);
+    }
+  }
+
+  /** Starts the server's backoff and reports it if it became unresponsive. */
+  private blame(server: CatalogServer, now: number): void {
     if (this.options.loadTracker.recordUnanswered(server.id, now)) {
       this.options.onUnresponsive(server);
     }
