Local faults: told from full and slow servers

Full servers ignore openings and acknowledge data; slow ones may acknowledge data with the answer only, so callers repeat it. Either would have looked like a local fault where most servers are so. Openings and data must each go unanswered at a quarter of the servers, unless hardly one answers.

--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -92,8 +92,8 @@
       requestTracker: this.requestTracker,
       retainedPackets:
         retainsPackets === true ? RetainedPackets.create() : undefined,
-      onUnanswered: (server, caller) =>
-        this.serverSelector.recordUnanswered(server, caller, clock.now()),
+      onUnanswered: (server, packet) =>
+        this.serverSelector.recordUnanswered(server, packet, clock.now()),
     });
   }
 
@@ -252,23 +252,21 @@
       .openServers(last.service)
       .find(({id}) => id === last.id && !this.options.isUnreachable(id));
     if (server !== undefined) {
-      localFaults.recordUnanswered(server, packet.sourceAddress);
+      localFaults.recordUnanswered(server, packet);
     }
     return server;
   }
 
   /** Records the server tried last as unanswering, and selects another one. */
   private selectOther(
-    {sourceAddress}: CookiePacket,
+    packet: CookiePacket,
     route: KnownRoute,
     triedServers: readonly CatalogServer[],
   ): CatalogServer | undefined {
     const now = this.options.clock.now();
     triedServers
       .slice(-1)
-      .forEach(last =>
-        this.serverSelector.recordUnanswered(last, sourceAddress, now),
-      );
+      .forEach(last => this.serverSelector.recordUnanswered(last, packet, now));
     return this.serverSelector.select(route, triedServers, now);
   }
 
--- a/src/routing/flow-tracker.ts
+++ b/src/routing/flow-tracker.ts
@@ -72,11 +72,8 @@
   readonly requestTracker: RequestTracker | undefined;
   /** Selects the packets to retain; undefined: none are retained. */
   readonly retainedPackets: RetainedPackets | undefined;
-  /**
-   * Called when a retransmission shows that a server left a packet of a caller, by IPv4
-   * address, unanswered.
-   */
-  onUnanswered(server: CatalogServer, caller: number): void;
+  /** Called when a retransmission shows that a server left a packet unanswered. */
+  onUnanswered(server: CatalogServer, packet: CookiePacket): void;
 }
 
 /** The flows that recently passed one daemon. */
@@ -306,7 +303,7 @@
     const isRetransmission = packet.sequence === flow.lastDataSequence;
     flow.lastDataSequence = packet.sequence;
     if (isRetransmission) {
-      this.options.onUnanswered(flow.server, packet.sourceAddress);
+      this.options.onUnanswered(flow.server, packet);
     }
   }
 
--- a/src/routing/local-fault-detector.ts
+++ b/src/routing/local-fault-detector.ts
@@ -5,6 +5,7 @@
  */
 import type {CatalogServer} from '../catalog/records.js';
 import type {Clock} from '../ports/clock.js';
+import type {CookiePacket} from '../ports/cookie-fabric.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import type {Log} from '../ports/log.js';
 
@@ -28,14 +29,22 @@
 /** Minimum time between two evaluations, which visit all servers. */
 const EVALUATION_INTERVAL_MS = 25;
 
-/** A packet that a server left unanswered. */
-interface UnansweredPacket {
-  /** IPv4 address of its caller as an unsigned number. */
-  readonly caller: number;
-  /** When the caller repeated it; monotonic milliseconds. */
-  readonly at: number;
+/** Minimum share of these servers for each kind of packet, or else maximum of answers. */
+const MIXED_SHARE = 0.25;
+
+/** The packets that a server left unanswered; times are monotonic milliseconds. */
+interface UnansweredPackets {
+  /** IPv4 address of the last caller as an unsigned number. */
+  caller: number;
+  /** When a caller last repeated an opening packet to it; -Infinity: never. */
+  openingAt: number;
+  /** When a caller last repeated data to it; -Infinity: never. */
+  dataAt: number;
 }
 
+/** The fields of a repeated packet that a detector needs. */
+export type RepeatedPacket = Pick<CookiePacket, 'sourceAddress' | 'opens'>;
+
 /** Dependencies and callbacks of a `LocalFaultDetector`. */
 export interface LocalFaultDetectorOptions {
   readonly clock: Clock;
@@ -57,8 +66,8 @@
 
 /** Decides whether unanswered packets are this daemon's own fault. */
 export class LocalFaultDetector {
-  /** The last unanswered packet of each server, by its id. */
-  private readonly unanswered = new Map<string, UnansweredPacket>();
+  /** By server id. */
+  private readonly unanswered = new Map<string, UnansweredPackets>();
   private nextEvaluationAt = -Infinity;
   /** When the fault ends unless it is found again; monotonic milliseconds. */
   private faultUntil = -Infinity;
@@ -86,9 +95,17 @@
    * Records that a server left a packet of a caller unanswered. Returns whether the server
    * is to blame.
    */
-  recordUnanswered({id}: CatalogServer, caller: number): boolean {
+  recordUnanswered(
+    {id}: CatalogServer,
+    {sourceAddress, opens}: RepeatedPacket,
+  ): boolean {
     const now = this.options.clock.now();
-    this.unanswered.set(id, {caller, at: now});
+    const known = this.unanswered.get(id);
+    this.unanswered.set(id, {
+      caller: sourceAddress,
+      openingAt: opens ? now : (known?.openingAt ?? -Infinity),
+      dataAt: opens ? (known?.dataAt ?? -Infinity) : now,
+    });
     if (this.unanswered.size >= MIN_SERVERS && now >= this.nextEvaluationAt) {
       this.nextEvaluationAt = now + EVALUATION_INTERVAL_MS;
       this.evaluate(now);
@@ -125,7 +142,7 @@
 
   private removeOlderThan(time: number): void {
     [...this.unanswered]
-      .filter(([, {at}]) => at < time)
+      .filter(([, {openingAt, dataAt}]) => Math.max(openingAt, dataAt) < time)
       .forEach(([server]) => this.unanswered.delete(server));
   }
 
@@ -141,10 +158,32 @@
     return (
       affected.length >= minAffected &&
       areMostServicesAffected(inUse, affected) &&
+      this.isUnlikeLoad(affected, since) &&
       this.largestCallerShare(affected) <= MAX_CALLER_SHARE
     );
   }
 
+  /**
+   * Whether the servers are neither full nor slow. Full ones ignore openings and acknowledge
+   * data, slow ones the other way round, and both answer other packets.
+   */
+  private isUnlikeLoad(
+    affected: readonly CatalogServer[],
+    since: number,
+  ): boolean {
+    const minCount = affected.length * MIXED_SHARE;
+    const known = affected.map(({id}) => this.unanswered.get(id));
+    const openings = known.filter(each => (each?.openingAt ?? 0) >= since);
+    const data = known.filter(each => (each?.dataAt ?? 0) >= since);
+    const answering = affected.filter(
+      ({id}) => this.options.lastAnsweredAt(id) >= since,
+    );
+    return (
+      answering.length <= minCount ||
+      Math.min(openings.length, data.length) >= minCount
+    );
+  }
+
   /** Returns the share of the servers whose last unanswered packet is of one caller. */
   private largestCallerShare(affected: readonly CatalogServer[]): number {
     const counts = countBy(
--- a/src/routing/server-selector.ts
+++ b/src/routing/server-selector.ts
@@ -8,7 +8,10 @@
 import type {KnownRoute} from '../catalog/route-table.js';
 import type {ServerRatings} from '../feedback/server-ratings.js';
 import {ColdStartLimiter, type ColdStartLimits} from './cold-start-limiter.js';
-import type {LocalFaultDetector} from './local-fault-detector.js';
+import type {
+  LocalFaultDetector,
+  RepeatedPacket,
+} from './local-fault-detector.js';
 import type {Candidate, Placement} from './placement.js';
 import type {Random} from './random.js';
 import type {ServerLoadTracker} from './server-load-tracker.js';
@@ -229,10 +232,14 @@
     return route.shares[Math.max(0, index)]?.service ?? '';
   }
 
-  /** Records that a server left a packet of a caller, by IPv4 address, unanswered. */
-  recordUnanswered(server: CatalogServer, caller: number, now: number): void {
+  /** Records that a server left a packet, which its caller repeats, unanswered. */
+  recordUnanswered(
+    server: CatalogServer,
+    packet: RepeatedPacket,
+    now: number,
+  ): void {
     const {localFaults} = this.options;
-    if (localFaults?.recordUnanswered(server, caller) !== false) {
+    if (localFaults?.recordUnanswered(server, packet) !== false) {
       this.blame(server, now);
     }
   }
