Own link: a busy link explains the first repeat of an opening only

Behind the pacer openings are hardly lost on the way out, so one that is repeated twice is more likely at a full server.

--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -422,17 +422,19 @@
   });
 }
 
-test('an opening that is repeated while the link is busy stays with its server, which is not blamed', () => {
+test('an opening that is repeated while the link is busy stays with its server, which is not blamed, once', () => {
   const servers = [serverOf('i-1'), serverOf('i-2'), serverOf('i-3')];
   const {router, unresponsive} = createRouter(
     servers,
     createBusyLink(Infinity),
   );
-  const targets = [0, 1, 2].map(openAttempt =>
-    serverIn(router.decide(createPacket({opens: true, openAttempt}))),
-  );
-  assert.equal(new Set(targets).size, 1);
+  const open = (openAttempt: number) =>
+    serverIn(router.decide(createPacket({opens: true, openAttempt})));
+  const first = open(0);
+  assert.equal(open(1), first);
   assert.deepEqual(unresponsive, []);
+  assert.notEqual(open(2), first);
+  assert.deepEqual(unresponsive, [first]);
 });
 
 test('it goes elsewhere when the link was not busy, only other servers answer, or its server drains', () => {
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -245,7 +245,11 @@
   ): CatalogServer | undefined {
     const {localFaults, catalog} = this.options;
     const last = triedServers.at(-1);
-    if (last === undefined || localFaults?.shouldStay(last, sentAt) !== true) {
+    const isFirstRepeat = triedServers.length === 1;
+    if (
+      last === undefined ||
+      localFaults?.shouldStay(last, sentAt, isFirstRepeat) !== true
+    ) {
       return undefined;
     }
     const server = catalog
--- a/src/routing/local-fault-detector.spec.ts
+++ b/src/routing/local-fault-detector.spec.ts
@@ -169,8 +169,8 @@
   const {detector, servers, clock} = daemon;
   assert.ok(detector.isActive);
   assert.ok(!detector.recordUnanswered(servers[0], createPacket({})));
-  assert.ok(!detector.shouldStay(servers[0], clock.now()));
-  assert.ok(detector.shouldStay(servers[24], clock.now()));
+  assert.ok(!detector.shouldStay(servers[0], clock.now(), true));
+  assert.ok(detector.shouldStay(servers[24], clock.now(), false));
 });
 
 test('a partition from all servers: openings stay', async () => {
@@ -178,5 +178,5 @@
   await daemon.run(2_000, 100, () => false);
   await daemon.run(2_000, 100, () => true);
   assert.ok(daemon.detector.isActive);
-  assert.ok(daemon.detector.shouldStay(daemon.servers[0], 0));
+  assert.ok(daemon.detector.shouldStay(daemon.servers[0], 0, false));
 });
--- a/src/routing/local-fault-detector.ts
+++ b/src/routing/local-fault-detector.ts
@@ -118,13 +118,18 @@
 
   /**
    * Whether an opening packet that went to a server at `sentAt`, and is repeated now, should
-   * go there again: it may have been lost on this daemon's link, and the server answers, or
-   * none does.
+   * go there again: it may have been lost through this daemon, and the server answers, or
+   * none does. A busy link explains only the loss of the first of its copies.
    */
-  shouldStay({id}: CatalogServer, sentAt: number): boolean {
+  shouldStay(
+    {id}: CatalogServer,
+    sentAt: number,
+    isFirstRepeat: boolean,
+  ): boolean {
     const {clock, lastAnsweredAt, wasLinkBusySince} = this.options;
     const since = clock.now() - WINDOW_MS;
-    const isOwnFault = this.isActive || wasLinkBusySince(sentAt);
+    const isOwnFault =
+      this.isActive || (isFirstRepeat && wasLinkBusySince(sentAt));
     const hasAnswers = this.options.newestAnswerAt() >= since;
     return isOwnFault && (lastAnsweredAt(id) >= since || !hasAnswers);
   }
