--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -460,3 +460,15 @@
   assert.equal(targetsOf(createBusyLink(Infinity, Infinity)).size, 2);
   assert.equal(targetsOf(createBusyLink(Infinity), true).size, 2);
 });
+
+test('data that was dropped here and is repeated blames no server; data that was sent does', () => {
+  const {router, unresponsive} = createRouter([serverOf('i-1')]);
+  const opened = router.decide(createPacket({opens: true}));
+  const data = createPacket({cookie: cookieIn(opened), dataLength: 700});
+  router.decide(data);
+  router.flows.forgetData(data);
+  router.decide(data);
+  assert.deepEqual(unresponsive, []);
+  router.decide(data);
+  assert.deepEqual(unresponsive, ['i-1']);
+});
--- a/src/routing/server-load-tracker.spec.ts
+++ b/src/routing/server-load-tracker.spec.ts
@@ -76,3 +76,18 @@
   assert.equal(tracker.countLocalInFlight('s'), 0);
   assert.equal(tracker.countLocalInFlight('t'), 1);
 });
+
+test('revoked backoffs count as if they had not begun, earlier ones stay', () => {
+  const tracker = createTracker();
+  tracker.recordUnanswered('i-1', 0);
+  tracker.recordUnanswered('i-2', 500);
+  tracker.revokeBackoffs(100);
+  assert.ok(tracker.isUnresponsive('i-1', 600));
+  assert.ok(!tracker.isUnresponsive('i-2', 600));
+  assert.deepEqual(
+    tracker.selectLoadToGossip(600, true).map(({silent}) => silent),
+    [true],
+  );
+  tracker.recordUnanswered('i-2', 700);
+  assert.ok(!tracker.isUnresponsive('i-2', 1_501));
+});
