Local faults: a server is affected by its share of loss, dead ones are left out

Cause: one unanswered packet in a second made a server affected whatever its rate, so 1 to 2% of loss at 300 requests a second and more touched most servers and, together with dead ones, counted as a local fault. While it held nobody was blamed, so dead servers kept getting flows and the fault kept being found.

A server is affected if it left a fifth of its packets of the last second unanswered: the detector keeps the times of its unanswered packets, the load tracker an estimate of its answers, with feedback alone. More than two thirds of the servers in use must be affected, and one more among up to 30. New flows avoid, during a fault, servers that are silent while others answer.

Ruled out: a window for each server that begins with its first unanswered packet (begins affected until answers come), and an estimate of the unanswered packets as of the answers (a link that loses 60% of 120 packets a second to 100 servers was no longer found); one more server at any size (the same link).

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -79,7 +79,10 @@
     this.seeds = seeds;
     this.catalog = Catalog.create({hasher, flowLifetimeMs});
     this.peers = PeerView.create({self: address, failureDomain, random});
-    this.serverLoad = ServerLoadTracker.create(hasher);
+    this.serverLoad = ServerLoadTracker.create(
+      hasher,
+      settings.features.feedback,
+    );
     this.placement = options.placement ?? LocalLoadPlacement.create();
     this.linkPacer = this.createLinkPacer();
     this.fabric = this.linkPacer ?? options.fabric;
@@ -252,6 +255,7 @@
         allServers: () => catalog.allServers(),
         isInUse: (id, time) => serverLoad.isInUse(id, time),
         lastAnsweredAt: id => serverLoad.lastAnsweredAt(id),
+        countAnswers: (id, time) => serverLoad.countAnswers(id, time),
         newestAnswerAt: () => serverLoad.newestAnswerAt,
         wasLinkBusySince: time => linkPacer.wasBusySince(time),
         onFault: time => this.revokeBackoffs(time),
--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -416,6 +416,7 @@
     allServers: () => [],
     isInUse: () => true,
     lastAnsweredAt: () => -Infinity,
+    countAnswers: () => 0,
     newestAnswerAt: () => answeredAt,
     wasLinkBusySince: time => time <= busySince,
     onFault: () => undefined,
@@ -461,6 +462,45 @@
   assert.equal(targetsOf(createBusyLink(Infinity), true).size, 2);
 });
 
+test('while a local fault holds, new flows avoid a server that is silent while others answer, which is not blamed', async () => {
+  const servers = Array.from({length: 8}, (_, index) => serverOf(`i-${index}`));
+  const clock = FakeClock.create();
+  const detector = LocalFaultDetector.create({
+    clock,
+    counters: MemoryCounters.create(),
+    log: MemoryLog.create('d', []),
+    allServers: () => servers,
+    isInUse: () => true,
+    lastAnsweredAt: id => (id === 'i-1' ? -Infinity : clock.now()),
+    countAnswers: () => 0,
+    newestAnswerAt: () => clock.now(),
+    wasLinkBusySince: () => false,
+    onFault: () => undefined,
+  });
+  // Data before openings, so that the evaluation, at most every 25 ms, finds both.
+  servers
+    .slice(0, 4)
+    .forEach((server, sourceAddress) =>
+      detector.recordUnanswered(server, {sourceAddress, opens: false}),
+    );
+  servers.forEach((server, index) => {
+    const sourceAddress = index + 10;
+    detector.recordUnanswered(server, {sourceAddress, opens: true});
+  });
+  assert.ok(!detector.isActive);
+  await clock.advance(25);
+  detector.recordUnanswered(servers[0], {sourceAddress: 99, opens: true});
+  assert.ok(detector.isActive);
+  const {router, unresponsive} = createRouter(servers, detector);
+  const targets = Array.from({length: 40}, (_, index) => {
+    const packet = createPacket({opens: true, sourcePort: 2_000 + index});
+    return serverIn(router.decide(packet));
+  });
+  assert.equal(new Set(targets).size, 7);
+  assert.ok(!targets.includes('i-1'));
+  assert.deepEqual(unresponsive, []);
+});
+
 test('data that was dropped here and is repeated blames no server; data that was sent does', () => {
   const {router, unresponsive} = createRouter([serverOf('i-1')]);
   const opened = router.decide(createPacket({opens: true}));
--- a/src/routing/local-fault-detector.spec.ts
+++ b/src/routing/local-fault-detector.spec.ts
@@ -43,7 +43,7 @@
 function createDaemon(counts: readonly number[], seed: number) {
   const clock = FakeClock.create();
   const random = Random.create(seed);
-  const serverLoad = ServerLoadTracker.create(hasher);
+  const serverLoad = ServerLoadTracker.create(hasher, true);
   const entries: LogEntry[] = [];
   const servers = createServers(counts);
   const faults: number[] = [];
@@ -54,6 +54,7 @@
     allServers: () => servers,
     isInUse: (id, time) => serverLoad.isInUse(id, time),
     lastAnsweredAt: id => serverLoad.lastAnsweredAt(id),
+    countAnswers: (id, time) => serverLoad.countAnswers(id, time),
     newestAnswerAt: () => serverLoad.newestAnswerAt,
     wasLinkBusySince: () => false,
     onFault: time => faults.push(time),
@@ -103,6 +104,40 @@
   ),
 );
 
+[14, 25, 40].forEach(percent =>
+  [0.01, 0.02, 0.05].forEach(loss =>
+    [300, 1_000].forEach(rate =>
+      test(`${percent}% of one service's 25 servers silent for 20 s, ${loss} of all other packets lost, ${rate} requests a second: no local fault`, async () => {
+        const daemon = createDaemon([25], percent + rate);
+        const dead = new Set(
+          daemon.servers.slice(0, Math.floor((25 * percent) / 100)),
+        );
+        const isLost: Loss = server =>
+          dead.has(server) || daemon.random.next() < loss;
+        await daemon.run(2_000, rate, () => daemon.random.next() < loss);
+        await daemon.run(20_000, rate, isLost);
+        assert.deepEqual(daemon.entries, []);
+      }),
+    ),
+  ),
+);
+
+[0, 0.01, 0.02, 0.05].forEach(loss =>
+  [300, 1_000].forEach(rate =>
+    test(`2 of the 3 servers of each of 3 services silent for 20 s, ${loss} of all other packets lost, ${rate} requests a second: no local fault`, async () => {
+      const daemon = createDaemon([3, 3, 3], rate);
+      const dead = new Set(
+        daemon.servers.filter((_server, index) => index % 3 > 0),
+      );
+      const isLost: Loss = server =>
+        dead.has(server) || daemon.random.next() < loss;
+      await daemon.run(2_000, rate, () => daemon.random.next() < loss);
+      await daemon.run(20_000, rate, isLost);
+      assert.deepEqual(daemon.entries, []);
+    }),
+  ),
+);
+
 test('a service of 1 to 3 servers that is silent altogether, alone or beside others: no local fault', async () => {
   for (const counts of [[1], [2], [3], [3, 20], [1, 1, 25]]) {
     const daemon = createDaemon(counts, 3);
@@ -171,6 +206,8 @@
   assert.ok(!detector.recordUnanswered(servers[0], createPacket({})));
   assert.ok(!detector.shouldStay(servers[0], clock.now(), true));
   assert.ok(detector.shouldStay(servers[24], clock.now(), false));
+  assert.ok(detector.shouldAvoid(servers[0]));
+  assert.ok(!detector.shouldAvoid(servers[24]));
 });
 
 test('a partition from all servers: openings stay', async () => {
@@ -179,4 +216,5 @@
   await daemon.run(2_000, 100, () => true);
   assert.ok(daemon.detector.isActive);
   assert.ok(daemon.detector.shouldStay(daemon.servers[0], 0, false));
+  assert.ok(!daemon.detector.shouldAvoid(daemon.servers[0]));
 });
--- a/src/routing/local-fault-detector.ts
+++ b/src/routing/local-fault-detector.ts
@@ -8,15 +8,27 @@
 import type {CookiePacket} from '../ports/cookie-fabric.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import type {Log} from '../ports/log.js';
+import {COUNT_WINDOW_MS} from './windowed-count.js';
 
 /** Time in which unanswered packets are compared with the servers in use. */
-const WINDOW_MS = 1_000;
+const WINDOW_MS = COUNT_WINDOW_MS;
 /** Fewer servers than this may all be at fault at once. */
 const MIN_SERVERS = 6;
 /** Time for which a busy link may delay answers: callers then repeat openings. */
 const LINK_DELAY_MS = 200;
-/** Share of the servers in use that must leave packets unanswered. */
+/**
+ * Share of its packets that an affected server leaves unanswered: several times the loss of
+ * a network at work, at which single repeats are common to all servers.
+ */
+const MIN_UNANSWERED_SHARE = 0.2;
+/** Share of the servers in use that must be exceeded by the affected ones. */
 const MIN_SERVER_SHARE = 2 / 3;
+/**
+ * Affected servers above that share that prove nothing among up to `MAX_FEW_SERVERS`: one
+ * may be affected by chance, or be missing in the servers in use.
+ */
+const SPARE_SERVERS = 1;
+const MAX_FEW_SERVERS = 30;
 /** Share of the servers of a service that may be at fault themselves. */
 const MAX_SERVER_FAULT_SHARE = 0.4;
 /**
@@ -24,13 +36,14 @@
  * standard deviations, exceeded by chance in one of 10,000 samples.
  */
 const SAMPLING_MARGIN = 1.8;
-/** Maximum share of these servers whose packets came from a single caller. */
+/** Maximum share of the affected servers whose last packets came from a single caller. */
 const MAX_CALLER_SHARE = 0.5;
 /** Minimum time between two evaluations, which visit all servers. */
 const EVALUATION_INTERVAL_MS = 25;
-
-/** Minimum share of these servers for each kind of packet, or else maximum of answers. */
-const MIXED_SHARE = 0.25;
+/** Share of the affected servers that must ignore openings, and that must ignore data. */
+const MIN_KIND_SHARE = 0.25;
+/** Share of the affected servers up to which answers of some tell nothing about load. */
+const MAX_ANSWERING_SHARE = 0.25;
 
 /** The packets that a server left unanswered; times are monotonic milliseconds. */
 interface UnansweredPackets {
@@ -40,6 +53,8 @@
   openingAt: number;
   /** When a caller last repeated data to it; -Infinity: never. */
   dataAt: number;
+  /** When it left packets unanswered within the window, ascending. */
+  readonly times: number[];
 }
 
 /** The fields of a repeated packet that a detector needs. */
@@ -56,6 +71,8 @@
   isInUse(server: string, time: number): boolean;
   /** Monotonic milliseconds at which a server last answered a caller here. */
   lastAnsweredAt(server: string): number;
+  /** Estimates the answers of a server to callers here in the second before `time`. */
+  countAnswers(server: string, time: number): number;
   /** Monotonic milliseconds at which any server last answered a caller here. */
   newestAnswerAt(): number;
   /** Whether packets waited for this instance's link at or after `time`. */
@@ -101,7 +118,11 @@
   ): boolean {
     const now = this.options.clock.now();
     const known = this.unanswered.get(id);
+    const times = known?.times ?? [];
+    times.push(now);
+    removeBefore(times, now - WINDOW_MS);
     this.unanswered.set(id, {
+      times,
       caller: sourceAddress,
       openingAt: opens ? now : (known?.openingAt ?? -Infinity),
       dataAt: opens ? (known?.dataAt ?? -Infinity) : now,
@@ -126,17 +147,37 @@
     sentAt: number,
     isFirstRepeat: boolean,
   ): boolean {
-    const {clock, lastAnsweredAt, wasLinkBusySince} = this.options;
-    const since = clock.now() - WINDOW_MS;
+    const {wasLinkBusySince} = this.options;
     const isOwnFault =
       this.isActive || (isFirstRepeat && wasLinkBusySince(sentAt));
-    const hasAnswers = this.options.newestAnswerAt() >= since;
-    return isOwnFault && (lastAnsweredAt(id) >= since || !hasAnswers);
+    return isOwnFault && !this.isSilentBesideOthers(id);
+  }
+
+  /**
+   * Whether new flows should avoid a server during a local fault, which may be dead all the
+   * same: it left packets unanswered and did not answer within a second, but others did.
+   */
+  shouldAvoid({id}: CatalogServer): boolean {
+    const {clock} = this.options;
+    const known = this.unanswered.get(id);
+    return (
+      this.isActive &&
+      known !== undefined &&
+      lastAt(known) >= clock.now() - WINDOW_MS &&
+      this.isSilentBesideOthers(id)
+    );
+  }
+
+  /** Whether a server answered nothing within a second in which others did. */
+  private isSilentBesideOthers(id: string): boolean {
+    const {clock, lastAnsweredAt, newestAnswerAt} = this.options;
+    const since = clock.now() - WINDOW_MS;
+    return lastAnsweredAt(id) < since && newestAnswerAt() >= since;
   }
 
   private evaluate(now: number): void {
     this.removeOlderThan(now - WINDOW_MS);
-    if (!this.isCommonCause(now - WINDOW_MS)) {
+    if (!this.isCommonCause(now)) {
       return;
     }
     this.faultUntil = now + WINDOW_MS;
@@ -147,20 +188,24 @@
 
   private removeOlderThan(time: number): void {
     [...this.unanswered]
-      .filter(([, {openingAt, dataAt}]) => Math.max(openingAt, dataAt) < time)
+      .filter(([, packets]) => lastAt(packets) < time)
       .forEach(([server]) => this.unanswered.delete(server));
+    this.unanswered.forEach(({times}) => removeBefore(times, time));
   }
 
   /** Whether servers, services and callers are affected alike. */
-  private isCommonCause(since: number): boolean {
+  private isCommonCause(now: number): boolean {
     const {unanswered} = this;
+    const since = now - WINDOW_MS;
     const servers = this.options.allServers();
     const inUse = servers.filter(
       ({id}) => unanswered.has(id) || this.options.isInUse(id, since),
     );
-    const affected = inUse.filter(({id}) => unanswered.has(id));
+    const affected = inUse.filter(({id}) => this.isAffected(id, now));
+    const spare = servers.length <= MAX_FEW_SERVERS ? SPARE_SERVERS : 0;
     const minAffected = minAffectedServers(inUse.length, servers.length);
     return (
+      affected.length > inUse.length * MIN_SERVER_SHARE + spare &&
       affected.length >= minAffected &&
       areMostServicesAffected(inUse, affected) &&
       this.isUnlikeLoad(affected, since) &&
@@ -168,6 +213,13 @@
     );
   }
 
+  /** Whether a server left enough of its packets of the last second unanswered. */
+  private isAffected(id: string, now: number): boolean {
+    const count = this.unanswered.get(id)?.times.length ?? 0;
+    const answers = this.options.countAnswers(id, now);
+    return count > 0 && count >= (count + answers) * MIN_UNANSWERED_SHARE;
+  }
+
   /**
    * Whether the servers are neither full nor slow. Full ones ignore openings and acknowledge
    * data, slow ones the other way round, and both answer other packets.
@@ -176,7 +228,7 @@
     affected: readonly CatalogServer[],
     since: number,
   ): boolean {
-    const minCount = affected.length * MIXED_SHARE;
+    const minPerKind = affected.length * MIN_KIND_SHARE;
     const known = affected.map(({id}) => this.unanswered.get(id));
     const openings = known.filter(each => (each?.openingAt ?? 0) >= since);
     const data = known.filter(each => (each?.dataAt ?? 0) >= since);
@@ -184,8 +236,8 @@
       ({id}) => this.options.lastAnsweredAt(id) >= since,
     );
     return (
-      answering.length <= minCount ||
-      Math.min(openings.length, data.length) >= minCount
+      answering.length <= affected.length * MAX_ANSWERING_SHARE ||
+      Math.min(openings.length, data.length) >= minPerKind
     );
   }
 
@@ -219,15 +271,24 @@
   }
 }
 
+/** Removes the leading times before `limit`; the last one is not before it. */
+function removeBefore(times: number[], limit: number): void {
+  times.splice(
+    0,
+    times.findIndex(time => time >= limit),
+  );
+}
+
+/** Returns when a server last left a packet unanswered. */
+function lastAt({openingAt, dataAt}: UnansweredPackets): number {
+  return Math.max(openingAt, dataAt);
+}
+
 /** Returns how many of the servers in use servers' own faults cannot account for. */
 function minAffectedServers(inUse: number, all: number): number {
   const unsampledShare = (all - inUse) / Math.max(1, all - 1);
   const margin = SAMPLING_MARGIN * Math.sqrt(inUse * unsampledShare);
-  return Math.max(
-    MIN_SERVERS,
-    inUse * MIN_SERVER_SHARE,
-    inUse * MAX_SERVER_FAULT_SHARE + margin,
-  );
+  return Math.max(MIN_SERVERS, inUse * MAX_SERVER_FAULT_SHARE + margin);
 }
 
 /** Whether at least half of the servers are affected in more than half of the services. */
--- a/src/routing/server-load-tracker.ts
+++ b/src/routing/server-load-tracker.ts
@@ -6,6 +6,7 @@
 import type {ServerWork} from '../generated/catalog.js';
 import type {Hasher} from '../ports/hasher.js';
 import {ServerHashes} from './server-hashes.js';
+import {WindowedCount} from './windowed-count.js';
 
 /** Time for which a load report of a peer counts: three heartbeats. */
 const PEER_LOAD_LIFETIME_MS = 1_500;
@@ -44,6 +45,8 @@
   openingSentAt: number;
   /** When it last answered; -Infinity: never. */
   answeredAt: number;
+  /** Its answers; undefined if they are not counted. */
+  readonly answers: WindowedCount | undefined;
 }
 
 /** Load of one server as a peer reported it. */
@@ -70,11 +73,17 @@
   /** Moving average of the time from an opening packet to the caller's next packet. */
   private averageOpeningAnswerMs = INITIAL_OPENING_ANSWER_MS;
 
-  private constructor(private readonly hashes: ServerHashes) {}
+  private constructor(
+    private readonly hashes: ServerHashes,
+    private readonly countsAnswers: boolean,
+  ) {}
 
-  /** Creates a tracker without observations or reports. */
-  static create(hasher: Hasher): ServerLoadTracker {
-    return new ServerLoadTracker(ServerHashes.create(hasher));
+  /**
+   * Creates a tracker without observations or reports. `countsAnswers` tells whether
+   * `countAnswers` is used.
+   */
+  static create(hasher: Hasher, countsAnswers = false): ServerLoadTracker {
+    return new ServerLoadTracker(ServerHashes.create(hasher), countsAnswers);
   }
 
   /** Adjusts the requests in flight at a server: +1 for a new one, -1 for a finished one. */
@@ -100,6 +109,7 @@
   recordAnswered(server: string, now: number): void {
     const state = this.observationOf(server);
     state.answeredAt = now;
+    state.answers?.add(now);
     this.newestAnswerAt = now;
     state.openingSentAt = Infinity;
     state.backoffCount = 0;
@@ -174,6 +184,12 @@
     return this.observed.get(this.hashes.of(server))?.answeredAt ?? -Infinity;
   }
 
+  /** Estimates the answers of a server to this daemon in the last second. */
+  countAnswers(server: string, now: number): number {
+    const state = this.observed.get(this.hashes.of(server));
+    return state?.answers?.estimate(now) ?? 0;
+  }
+
   /** Returns the requests in flight at a server from this daemon alone. */
   countLocalInFlight(server: string): number {
     return this.observed.get(this.hashes.of(server))?.inFlight ?? 0;
@@ -247,13 +263,14 @@
     if (known !== undefined) {
       return known;
     }
-    const created = {
+    const created: ServerObservation = {
       inFlight: 0,
       backoffCount: 0,
       backoffStartedAt: -Infinity,
       backoffUntil: -Infinity,
       openingSentAt: Infinity,
       answeredAt: -Infinity,
+      answers: this.countsAnswers ? WindowedCount.create() : undefined,
     };
     this.observed.set(hash, created);
     return created;
--- a/src/routing/server-selector.ts
+++ b/src/routing/server-selector.ts
@@ -168,19 +168,23 @@
 
   /**
    * Returns responsive servers that are not ejected, those not tried yet if there are any.
-   * When fewer than half are responsive, responsiveness is ignored: the fault may be in
-   * this daemon's network.
+   * During a local fault, servers that are silent while others answer are left out too,
+   * though not blamed. When fewer than half are responsive, responsiveness is ignored: the
+   * fault may be in this daemon's network.
    */
   private filterUsable(
     servers: readonly CatalogServer[],
     triedServers: readonly CatalogServer[],
     now: number,
   ): readonly CatalogServer[] {
-    const {loadTracker} = this.options;
-    const responsive = servers.filter(
+    const {loadTracker, localFaults} = this.options;
+    const unblamed = servers.filter(
       ({id}) =>
         !loadTracker.isUnresponsive(id, now) && !this.options.isUnreachable(id),
     );
+    const responsive = unblamed.filter(
+      server => localFaults?.shouldAvoid(server) !== true,
+    );
     const considered =
       responsive.length * 2 >= servers.length ? responsive : servers;
     const notEjected = this.excludeEjected(considered, now);
