Own link: no packet of a flow passes its own held data

Cause: acknowledgements and openings of a flow went into the queue for small packets although bulk data of the flow waited, and reached the server first. Every packet of a flow now waits behind its held bulk data. Whether a flow has held packets is a count for each flow instead of a search of the queue. Specs: an acknowledgement between data, the end, an opening on a reused port.

--- a/src/entry/held-packets.ts
+++ b/src/entry/held-packets.ts
@@ -3,6 +3,7 @@
  * after which it is of no use to its receiver. Used by `LinkPacer`.
  */
 import type {CallerPosition} from '../ports/cookie-fabric.js';
+import {destinationKey} from '../routing/flow-key.js';
 
 /** A packet that waits; times are monotonic milliseconds. */
 export interface HeldPacket {
@@ -23,6 +24,8 @@
 export class HeldPackets {
   private packets: HeldPacket[] = [];
   private heldBytes = 0;
+  /** Number of packets held by flow; flows without any have no entry. */
+  private readonly countsByFlow = new Map<string, number>();
 
   private constructor(private readonly maxBytes: number) {}
 
@@ -47,19 +50,22 @@
     if (fits) {
       this.packets.push(packet);
       this.heldBytes += packet.bytes;
+      this.adjustCount(packet.flow, 1);
     }
     return fits;
   }
 
   /** Whether a packet of a flow is held. */
   holds(flow: CallerPosition): boolean {
-    return this.packets.some(packet => isSameFlow(packet.flow, flow));
+    return this.countsByFlow.has(keyOf(flow));
   }
 
   /** Removes and returns the packet that has waited longest. */
   take(): HeldPacket | undefined {
     const packet = this.packets.shift();
-    this.heldBytes -= packet?.bytes ?? 0;
+    if (packet !== undefined) {
+      this.recordRemoved(packet);
+    }
     return packet;
   }
 
@@ -70,16 +76,31 @@
       0,
       index < 0 ? this.packets.length : index,
     );
-    this.heldBytes -= expired.reduce((sum, {bytes}) => sum + bytes, 0);
+    expired.forEach(packet => this.recordRemoved(packet));
     return expired;
   }
+
+  private recordRemoved({flow, bytes}: HeldPacket): void {
+    this.heldBytes -= bytes;
+    this.adjustCount(flow, -1);
+  }
+
+  private adjustCount(flow: CallerPosition, change: number): void {
+    const key = keyOf(flow);
+    const count = (this.countsByFlow.get(key) ?? 0) + change;
+    if (count === 0) {
+      this.countsByFlow.delete(key);
+    } else {
+      this.countsByFlow.set(key, count);
+    }
+  }
 }
 
-function isSameFlow(one: CallerPosition, other: CallerPosition): boolean {
-  return (
-    one.sourcePort === other.sourcePort &&
-    one.sourceAddress === other.sourceAddress &&
-    one.destinationPort === other.destinationPort &&
-    one.destinationAddress === other.destinationAddress
+function keyOf(flow: CallerPosition): string {
+  const source = destinationKey(flow.sourceAddress, flow.sourcePort);
+  const destination = destinationKey(
+    flow.destinationAddress,
+    flow.destinationPort,
   );
+  return `${source}/${destination}`;
 }
--- a/src/entry/link-pacer.spec.ts
+++ b/src/entry/link-pacer.spec.ts
@@ -199,6 +199,25 @@
   );
 });
 
+test('under pressure an acknowledgement, and an opening on a reused port, stay behind data of their flow', async () => {
+  const {clock, fabric, pacer} = createPacer(3.3);
+  const data = Array.from({length: 20}, (_, index) => dataPacket(index));
+  const later = [{}, {closes: true}, {opens: true}, {resets: true}].map(
+    fields => smallPacket({sourcePort: 1_000, ...fields}),
+  );
+  const packets = [...data.slice(0, 10), later[0], ...data.slice(10)];
+  const given = [...packets, ...later.slice(1)];
+  given.forEach(packet => pacer.forward(packet, SERVER, 1));
+  await clock.advance(1_000);
+  assert.deepEqual(
+    fabric.sent.map(({packet}) => packet),
+    given,
+  );
+  const reopening = smallPacket({sourcePort: 1_000, opens: true});
+  pacer.forward(reopening, SERVER, 1);
+  assert.equal(fabric.sent.at(-1)?.packet, reopening);
+});
+
 test('10 s of bulk at 4 times the link: waits stay under 105 ms, the rate under the link, two log lines', async () => {
   const {clock, fabric, pacer, counters, entries, dropped} = createPacer(3.3);
   for (let turn = 0; turn < 1_000; turn += 1) {
--- a/src/entry/link-pacer.ts
+++ b/src/entry/link-pacer.ts
@@ -134,15 +134,14 @@
   }
 
   /**
-   * Returns the queue that a packet belongs to. Packets that a flow's receiver takes in
-   * order, those with data and the flow's end, stay behind data of the flow that waits.
+   * Returns the queue that a packet belongs to. No packet of a flow passes bulk data of the
+   * flow that waits: its order would change. Openings on a reused port are no exception.
    */
   private queueOf(packet: CookiePacket, bytes: number): HeldPackets {
     if (bytes > MAX_SMALL_BYTES) {
       return this.bulk;
     }
-    const isOrdered = packet.dataLength > 0 || packet.closes || packet.resets;
-    const mustWait = isOrdered && this.bulk.size > 0 && this.bulk.holds(packet);
+    const mustWait = this.bulk.size > 0 && this.bulk.holds(packet);
     return mustWait ? this.bulk : this.small;
   }
 
