Own link: nothing is held after close, the detector's timer ends with the daemon

Cause: the timer for a fault's end was never cancelled, and a forward or reset after close could be held again. EntryDaemon.stop stops the detector; a closed pacer sends at once.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -61,6 +61,8 @@
   /** Paces the packets to the instance's link; undefined without feedback. */
   private readonly linkPacer: LinkPacer | undefined;
   private readonly fabric: CookieFabric;
+  /** Finds faults of this daemon itself; undefined without feedback. */
+  private readonly localFaults: LocalFaultDetector | undefined;
   private readonly router: CookieRouter;
   private readonly gossip: CatalogGossip;
   private readonly election: ReaderElection;
@@ -86,6 +88,7 @@
     this.placement = options.placement ?? LocalLoadPlacement.create();
     this.linkPacer = this.createLinkPacer();
     this.fabric = this.linkPacer ?? options.fabric;
+    this.localFaults = this.createLocalFaultDetector();
     this.router = this.createRouter();
     this.packetHandler = this.createPacketHandler();
     this.election = this.createElection();
@@ -185,6 +188,7 @@
     await shutdown.awaitTrafficEnd();
     this.reachability.stop();
     this.terminator.stop();
+    this.localFaults?.stop();
     this.stopCallbacks.forEach(callback => callback());
     this.fabric.close();
     log.warn('stopped', {
@@ -225,7 +229,7 @@
       ratings: UniformRatings.create(),
       observer: undefined,
       retainsPackets: settings.features.feedback,
-      localFaults: this.createLocalFaultDetector(),
+      localFaults: this.localFaults,
     });
   }
 
--- a/src/entry/link-pacer.spec.ts
+++ b/src/entry/link-pacer.spec.ts
@@ -249,4 +249,7 @@
     packets,
   );
   assert.ok(fabric.isClosed);
+  pacer.forward(packets[0], SERVER, 1);
+  pacer.reset(packets[0]);
+  assert.equal(fabric.sent.length, packets.length + 2);
 });
--- a/src/entry/link-pacer.ts
+++ b/src/entry/link-pacer.ts
@@ -71,6 +71,7 @@
   private busyAt = -Infinity;
   private drainTimer: Timer | undefined;
   private isSaturated = false;
+  private isClosed = false;
   /** When the link was last found saturated; monotonic milliseconds. */
   private saturatedAt = -Infinity;
   private droppedSinceSaturated = 0;
@@ -114,8 +115,9 @@
     }
   }
 
-  /** Sends everything held and closes the fabric. */
+  /** Sends everything held and closes the fabric; nothing is held from then on. */
   close(): void {
+    this.isClosed = true;
     this.drainTimer?.cancel();
     this.recoveryTimer?.cancel();
     while (this.hasBacklog) {
@@ -150,7 +152,7 @@
     this.refill();
     const isNext =
       this.small.size === 0 && (queue === this.small || this.bulk.size === 0);
-    const mayPass = isNext && this.tokens >= bytes;
+    const mayPass = this.isClosed || (isNext && this.tokens >= bytes);
     if (mayPass) {
       this.tokens -= bytes;
     }
@@ -164,7 +166,7 @@
     this.refilledAt = now;
   }
 
-  /** Apart from `forward`, whose call frame a closure would move to the heap. */
+  /** Separate from `forward` so that the fast path allocates nothing. */
   private holdForward(
     queue: HeldPackets,
     packet: CookiePacket,
--- a/src/routing/local-fault-detector.spec.ts
+++ b/src/routing/local-fault-detector.spec.ts
@@ -210,6 +210,17 @@
   assert.ok(!detector.shouldAvoid(servers[24]));
 });
 
+test('a detector that stops during a fault leaves no timer and finds no other fault', async () => {
+  const daemon = createDaemon([25], 8);
+  await daemon.run(2_000, 100, () => false);
+  await daemon.run(2_000, 100, () => true);
+  daemon.detector.stop();
+  await daemon.run(4_000, 100, () => true);
+  assert.ok(!daemon.detector.isActive);
+  const events = daemon.entries.map(({event}) => event);
+  assert.deepEqual(events, ['local-fault']);
+});
+
 test('a partition from all servers: openings stay', async () => {
   const daemon = createDaemon([25], 8);
   await daemon.run(2_000, 100, () => false);
--- a/src/routing/local-fault-detector.ts
+++ b/src/routing/local-fault-detector.ts
@@ -4,7 +4,7 @@
  * the cause is common to them: this daemon. Used by `ServerSelector` and `CookieRouter`.
  */
 import type {CatalogServer} from '../catalog/records.js';
-import type {Clock} from '../ports/clock.js';
+import type {Clock, Timer} from '../ports/clock.js';
 import type {CookiePacket} from '../ports/cookie-fabric.js';
 import {Metric, type Counters} from '../ports/counters.js';
 import type {Log} from '../ports/log.js';
@@ -89,6 +89,8 @@
   /** When the fault ends unless it is found again; monotonic milliseconds. */
   private faultUntil = -Infinity;
   private isFaulty = false;
+  private isStopped = false;
+  private endTimer: Timer | undefined;
 
   private constructor(private readonly options: LocalFaultDetectorOptions) {}
 
@@ -97,6 +99,12 @@
     return new LocalFaultDetector(options);
   }
 
+  /** Cancels the timer, and finds no further fault. */
+  stop(): void {
+    this.isStopped = true;
+    this.endTimer?.cancel();
+  }
+
   /** Whether a local fault holds now. */
   get isActive(): boolean {
     return this.options.clock.now() < this.faultUntil;
@@ -177,7 +185,7 @@
 
   private evaluate(now: number): void {
     this.removeOlderThan(now - WINDOW_MS);
-    if (!this.isCommonCause(now)) {
+    if (this.isStopped || !this.isCommonCause(now)) {
       return;
     }
     this.faultUntil = now + WINDOW_MS;
@@ -260,7 +268,7 @@
 
   private awaitEnd(): void {
     const {clock, log} = this.options;
-    clock.callAt(this.faultUntil, () => {
+    this.endTimer = clock.callAt(this.faultUntil, () => {
       if (this.isActive) {
         this.awaitEnd();
         return;
