--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -16,11 +16,13 @@
   CookieVerdict,
   type CookieDecision,
 } from './cookie-router.js';
+import {LocalFaultDetector} from './local-fault-detector.js';
 import {LeastLoadedPlacement} from './placement.js';
 import {Random} from './random.js';
 import {ServerLoadTracker} from './server-load-tracker.js';
 import {createRoute} from '../../standins/catalog-records.js';
 import {createPacket} from '../../standins/cookie-packets.js';
+import {MemoryLog} from '../../standins/memory-log.js';
 
 const hasher = await XxhashHasher.create();
 const ADDRESS = 0xc6120001;
@@ -59,7 +61,10 @@
   };
 }
 
-function createRouter(servers: readonly CatalogServer[]) {
+function createRouter(
+  servers: readonly CatalogServer[],
+  localFaults?: LocalFaultDetector,
+) {
   const clock = FakeClock.create();
   const catalog = Catalog.create({
     hasher,
@@ -90,6 +95,7 @@
     countDaemons: () => 8,
     ratings: UniformRatings.create(),
     observer: undefined,
+    localFaults,
   });
   return {
     clock,
@@ -428,3 +434,109 @@
   await clock.advance(410);
   assert.equal(unanswered.length, 3);
 });
+
+/** Creates a detector of a daemon whose link is busy; no server has ever answered. */
+function createBusyLink(busySince: number, answeredAt = -Infinity) {
+  return LocalFaultDetector.create({
+    clock: FakeClock.create(),
+    counters: MemoryCounters.create(),
+    log: MemoryLog.create('d', []),
+    allServers: () => [],
+    isInUse: () => true,
+    lastAnsweredAt: () => -Infinity,
+    countAnswers: () => 0,
+    newestAnswerAt: () => answeredAt,
+    wasLinkBusySince: time => time <= busySince,
+    onFault: () => undefined,
+  });
+}
+
+test('an opening that is repeated while the link is busy stays with its server, which is not blamed, once', () => {
+  const servers = [serverOf('i-1'), serverOf('i-2'), serverOf('i-3')];
+  const {router, unresponsive} = createRouter(
+    servers,
+    createBusyLink(Infinity),
+  );
+  const open = (openAttempt: number) =>
+    serverIn(router.decide(createPacket({opens: true, openAttempt})));
+  const first = open(0);
+  assert.equal(open(1), first);
+  assert.deepEqual(unresponsive, []);
+  assert.notEqual(open(2), first);
+  assert.deepEqual(unresponsive, [first]);
+});
+
+test('it goes elsewhere when the link was not busy, only other servers answer, or its server drains', () => {
+  const servers = [serverOf('i-1'), serverOf('i-2')];
+  const targetsOf = (detector: LocalFaultDetector, drains = false) => {
+    const {router, catalog, clock} = createRouter(servers, detector);
+    const first = serverIn(router.decide(createPacket({opens: true})));
+    if (drains) {
+      const changed = servers.map(server =>
+        server.id === first
+          ? {...serverOf(first, 'pay', 'draining'), revision: 2}
+          : server,
+      );
+      catalog.applyServers(
+        {revision: 2, servers: changed, evacuated: []},
+        clock.now(),
+      );
+    }
+    const packet = createPacket({opens: true, openAttempt: 1});
+    return new Set([first, serverIn(router.decide(packet))]);
+  };
+  assert.equal(targetsOf(createBusyLink(-Infinity)).size, 2);
+  assert.equal(targetsOf(createBusyLink(Infinity, Infinity)).size, 2);
+  assert.equal(targetsOf(createBusyLink(Infinity), true).size, 2);
+});
+
+test('while a local fault holds, new flows avoid a server that is silent while others answer, which is not blamed', async () => {
+  const servers = Array.from({length: 8}, (_, index) => serverOf(`i-${index}`));
+  const clock = FakeClock.create();
+  const detector = LocalFaultDetector.create({
+    clock,
+    counters: MemoryCounters.create(),
+    log: MemoryLog.create('d', []),
+    allServers: () => servers,
+    isInUse: () => true,
+    lastAnsweredAt: id => (id === 'i-1' ? -Infinity : clock.now()),
+    countAnswers: () => 0,
+    newestAnswerAt: () => clock.now(),
+    wasLinkBusySince: () => false,
+    onFault: () => undefined,
+  });
+  // Data before openings, so that the evaluation, at most every 25 ms, finds both.
+  servers
+    .slice(0, 4)
+    .forEach((server, sourceAddress) =>
+      detector.recordUnanswered(server, {sourceAddress, opens: false}),
+    );
+  servers.forEach((server, index) => {
+    const sourceAddress = index + 10;
+    detector.recordUnanswered(server, {sourceAddress, opens: true});
+  });
+  assert.ok(!detector.isActive);
+  await clock.advance(25);
+  detector.recordUnanswered(servers[0], {sourceAddress: 99, opens: true});
+  assert.ok(detector.isActive);
+  const {router, unresponsive} = createRouter(servers, detector);
+  const targets = Array.from({length: 40}, (_, index) => {
+    const packet = createPacket({opens: true, sourcePort: 2_000 + index});
+    return serverIn(router.decide(packet));
+  });
+  assert.equal(new Set(targets).size, 7);
+  assert.ok(!targets.includes('i-1'));
+  assert.deepEqual(unresponsive, []);
+});
+
+test('data that was dropped here and is repeated blames no server; data that was sent does', () => {
+  const {router, unresponsive} = createRouter([serverOf('i-1')]);
+  const opened = router.decide(createPacket({opens: true}));
+  const data = createPacket({cookie: cookieIn(opened), dataLength: 700});
+  router.decide(data);
+  router.flows.forgetData(data);
+  router.decide(data);
+  assert.deepEqual(unresponsive, []);
+  router.decide(data);
+  assert.deepEqual(unresponsive, ['i-1']);
+});
--- a/src/routing/server-load-tracker.ts
+++ b/src/routing/server-load-tracker.ts
@@ -6,6 +6,7 @@
 import type {ServerWork} from '../generated/catalog.js';
 import type {Hasher} from '../ports/hasher.js';
 import {ServerHashes} from './server-hashes.js';
+import {WindowedCount} from './windowed-count.js';
 
 /** Time for which a load report of a peer counts: three heartbeats. */
 const PEER_LOAD_LIFETIME_MS = 1_500;
@@ -36,6 +37,8 @@
   inFlight: number;
   /** Backoffs since it last answered. */
   backoffCount: number;
+  /** When its last backoff began. */
+  backoffStartedAt: number;
   /** When it may get new flows again. */
   backoffUntil: number;
   /** When the oldest unanswered opening packet was sent; Infinity: none. */
@@ -44,6 +47,8 @@
   isOverdueRecorded: boolean;
   /** When it last answered; -Infinity: never. */
   answeredAt: number;
+  /** Its answers; undefined if they are not counted. */
+  readonly answers: WindowedCount | undefined;
 }
 
 /** Load of one server as a peer reported it. */
@@ -63,16 +68,24 @@
 
 /** Load and responsiveness of the servers that one daemon sends to. */
 export class ServerLoadTracker {
+  /** When a server last answered; monotonic milliseconds. */
+  newestAnswerAt = -Infinity;
   private readonly observed = new Map<number, ServerObservation>();
   private readonly peerReports = new Map<number, PeerLoadReport>();
   /** Moving average of the time from an opening packet to the caller's next packet. */
   private averageOpeningAnswerMs = INITIAL_OPENING_ANSWER_MS;
 
-  private constructor(private readonly hashes: ServerHashes) {}
+  private constructor(
+    private readonly hashes: ServerHashes,
+    private readonly countsAnswers: boolean,
+  ) {}
 
-  /** Creates a tracker without observations or reports. */
-  static create(hasher: Hasher): ServerLoadTracker {
-    return new ServerLoadTracker(ServerHashes.create(hasher));
+  /**
+   * Creates a tracker without observations or reports. `countsAnswers` tells whether
+   * `countAnswers` is used.
+   */
+  static create(hasher: Hasher, countsAnswers = false): ServerLoadTracker {
+    return new ServerLoadTracker(ServerHashes.create(hasher), countsAnswers);
   }
 
   /** Adjusts the requests in flight at a server: +1 for a new one, -1 for a finished one. */
@@ -98,6 +111,8 @@
   recordAnswered(server: string, now: number): void {
     const state = this.observationOf(server);
     state.answeredAt = now;
+    state.answers?.add(now);
+    this.newestAnswerAt = now;
     state.openingSentAt = Infinity;
     state.isOverdueRecorded = false;
     state.backoffCount = 0;
@@ -118,10 +133,40 @@
     state.isOverdueRecorded = false;
     const backoffMs = INITIAL_BACKOFF_MS * 2 ** state.backoffCount;
     state.backoffCount += 1;
+    state.backoffStartedAt = now;
     state.backoffUntil = now + Math.min(backoffMs, MAX_BACKOFF_MS);
     return true;
   }
 
+  /** Ends the backoffs that began at or after `time`, as if they had not. */
+  revokeBackoffs(time: number): void {
+    [...this.observed.values()]
+      .filter(({backoffStartedAt}) => backoffStartedAt >= time)
+      .forEach(state => {
+        state.backoffCount = Math.max(0, state.backoffCount - 1);
+        state.backoffStartedAt = -Infinity;
+        state.backoffUntil = -Infinity;
+      });
+  }
+
+  /** Expects no answer to the opening packets sent to a server so far. */
+  discardOpenings(server: string): void {
+    const state = this.observationOf(server);
+    state.openingSentAt = Infinity;
+    state.isOverdueRecorded = false;
+  }
+
+  /** Whether a server has requests in flight from this daemon, or answered since `time`. */
+  isInUse(server: string, time: number): boolean {
+    const state = this.observed.get(this.hashes.of(server));
+    return (
+      state !== undefined &&
+      (state.inFlight > 0 ||
+        state.openingSentAt < Infinity ||
+        state.answeredAt >= time)
+    );
+  }
+
   /** Whether the answer to an opening packet is overdue and was not recorded as such. */
   hasOverdueOpening(server: string, now: number): boolean {
     const state = this.observed.get(this.hashes.of(server));
@@ -153,6 +198,12 @@
     return this.observed.get(this.hashes.of(server))?.answeredAt ?? -Infinity;
   }
 
+  /** Estimates the answers of a server to this daemon in the last second. */
+  countAnswers(server: string, now: number): number {
+    const state = this.observed.get(this.hashes.of(server));
+    return state?.answers?.estimate(now) ?? 0;
+  }
+
   /** Returns the requests in flight at a server from this daemon alone. */
   countLocalInFlight(server: string): number {
     return this.observed.get(this.hashes.of(server))?.inFlight ?? 0;
@@ -226,13 +277,15 @@
     if (known !== undefined) {
       return known;
     }
-    const created = {
+    const created: ServerObservation = {
       inFlight: 0,
       backoffCount: 0,
+      backoffStartedAt: -Infinity,
       backoffUntil: -Infinity,
       openingSentAt: Infinity,
       isOverdueRecorded: false,
       answeredAt: -Infinity,
+      answers: this.countsAnswers ? WindowedCount.create() : undefined,
     };
     this.observed.set(hash, created);
     return created;
