Probe an unreachable server here before a reset

Two daemons that are cut off at the same time confirm each other's failed probes, so they find running servers unreachable and gossip it. Every other daemon then reset the waiting flows of repeatable routes there, unprobed; only idle flows had been verified. The fuzz hid this with a filter that left out a second cut daemon.

A server is now lost to a daemon while it is unreachable and a probe from there has failed within the validity of a finding. Resets of waiting, idle and arriving flows ask for that. A daemon probes only a server with flows that a reset could concern, or on a packet for one, once at a time; so a failed server gets no connections from daemons without such flows. A lost server that leaves the list stays lost, as its address may be assigned again.

The filter of the fuzz is gone. Ruled out: probing by every daemon on each finding, which costs a connection per daemon and failed server.

The stand-in for servers forgot, at a restart, that the server had been paused within the grace; the checker then took a reset in these milliseconds for one of an undisturbed server (pause 305 ms, restart, found by the fuzz). The new incarnation keeps the time.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -209,6 +209,8 @@
       onUnresponsive: ({id}) => this.onServerUnresponsive(id),
       onUnanswered: server => this.reachability.investigate(server),
       isUnreachable: id => this.reachability.isUnreachable(id),
+      isLost: id => this.reachability.isLost(id),
+      onUnverified: server => void this.terminator.resetIfLost(server),
       regionOf: domain => settings.regions.get(domain),
       coldLimits: settings.coldLimits,
       countDaemons: () => this.peers.countDaemons(clock.now()),
@@ -261,7 +263,7 @@
       sendVote: (daemon, server, result) =>
         this.gossip.sendReachabilityVote(daemon, server, result),
       announce: () => this.gossip.announce(),
-      onUnreachable: server => void this.terminator.onServerUnreachable(server),
+      onUnreachable: server => this.terminator.onServerUnreachable(server),
     });
   }
 
--- a/src/entry/flow-terminator.spec.ts
+++ b/src/entry/flow-terminator.spec.ts
@@ -338,73 +338,88 @@
   repeatable: true,
 });
 
-/** Partitions of a daemon from its peers or from the servers, not from both. */
-const CUTS = ['cut-peers', 'cut-servers'];
+const FAULTS = fc.array(
+  fc.record({
+    afterMs: fc.integer({min: 50, max: 1_500}),
+    kind: fc.constantFrom(
+      'restart',
+      'move',
+      'spoil',
+      'kill',
+      'cut-peers',
+      'cut-servers',
+      'cut-store',
+      'store-down',
+      'forget',
+      'drain',
+      'crash',
+      'pause',
+      'reuse',
+    ),
+    which: fc.nat(7),
+    lastsMs: fc.integer({min: 200, max: 4_000}),
+  }),
+  {minLength: 2, maxLength: 8},
+);
 
-const FAULTS = fc
-  .array(
-    fc.record({
-      afterMs: fc.integer({min: 50, max: 1_500}),
-      kind: fc.constantFrom(
-        'restart',
-        'move',
-        'spoil',
-        'kill',
-        ...CUTS,
-        'cut-store',
-        'store-down',
-        'forget',
-        'drain',
-        'crash',
-        'pause',
-        'reuse',
-      ),
-      which: fc.nat(7),
-      lastsMs: fc.integer({min: 200, max: 4_000}),
-    }),
-    {minLength: 2, maxLength: 8},
-  )
-  .map(faults => {
-    // Two partitioned daemons together may find running servers unreachable.
-    const firstCut = faults.find(({kind}) => CUTS.includes(kind));
-    return faults.filter(
-      fault => !CUTS.includes(fault.kind) || fault === firstCut,
-    );
+/** A small fleet for callers of two routes who keep their flows. */
+async function createFuzzedPlatform(
+  seed: number,
+  isOn: boolean,
+): Promise<SimulatedPlatform> {
+  return createPlatform({
+    seed,
+    daemons: 5,
+    failureDomains: ['a', 'b'],
+    services: [
+      {name: 'pay', servers: 6, slots: 2, workMs: 20},
+      {name: 'docs', servers: 3, slots: 2, workMs: 400},
+    ],
+    routes: [PAY, DOCS],
+    features: {feedback: isOn, pressure: false},
   });
+}
+
+/** Starts callers of both routes in turn. */
+function startCallers(platform: SimulatedPlatform, count: number): void {
+  Array.from({length: count}, (_call, index) =>
+    platform.startCaller(index % 2 === 0 ? PAY : DOCS, 50, 15_000, 300),
+  );
+}
+
+/** Injects faults one after the other, with new callers after each. */
+async function injectFaults(
+  platform: SimulatedPlatform,
+  faults: ReadonlyArray<Parameters<typeof injectFault>[1]>,
+): Promise<void> {
+  startCallers(platform, 30);
+  for (const fault of faults) {
+    await platform.clock.advance(fault.afterMs);
+    injectFault(platform, fault, [PAY, DOCS]);
+    startCallers(platform, 6);
+  }
+  await platform.clock.advance(10_000);
+}
+
+test('daemons partitioned at once find running servers unreachable, which no other daemon trusts unverified', async () => {
+  const platform = await createFuzzedPlatform(1, false);
+  await injectFaults(platform, [
+    {afterMs: 50, kind: 'cut-servers', which: 0, lastsMs: 342},
+    {afterMs: 50, kind: 'cut-peers', which: 6, lastsMs: 200},
+    {afterMs: 50, kind: 'cut-servers', which: 7, lastsMs: 243},
+  ]);
+  assert.deepEqual(platform.violations, []);
+});
 
 test('no flow of a running server is reset under any mix of restarts, invalid entries and faults', async () => {
-  const hasher = await XxhashHasher.create();
   await fc.assert(
     fc.asyncProperty(
       fc.integer({min: 1, max: 1e6}),
       fc.boolean(),
       FAULTS,
       async (seed, isOn, faults) => {
-        const platform = await SimulatedPlatform.create(
-          {
-            seed,
-            daemons: 5,
-            failureDomains: ['a', 'b'],
-            services: [
-              {name: 'pay', servers: 6, slots: 2, workMs: 20},
-              {name: 'docs', servers: 3, slots: 2, workMs: 400},
-            ],
-            routes: [PAY, DOCS],
-            bounds: BOUNDS,
-            features: {feedback: isOn, pressure: false},
-            confirms: true,
-          },
-          hasher,
-        );
-        const call = (index: number) =>
-          platform.startCaller(index % 2 === 0 ? PAY : DOCS, 50, 15_000, 300);
-        Array.from({length: 30}, (_call, index) => call(index));
-        for (const fault of faults) {
-          await platform.clock.advance(fault.afterMs);
-          injectFault(platform, fault, [PAY, DOCS]);
-          Array.from({length: 6}, (_call, index) => call(index));
-        }
-        await platform.clock.advance(10_000);
+        const platform = await createFuzzedPlatform(seed, isOn);
+        await injectFaults(platform, faults);
         // Other guarantees hold only while the store responds.
         const flows = platform.violations.filter(({promise}) =>
           ['reset', 'flow', 'route'].includes(promise),
--- a/src/entry/flow-terminator.ts
+++ b/src/entry/flow-terminator.ts
@@ -74,17 +74,21 @@
     ended.forEach(server => this.onServerEnded(server));
   }
 
+  /** Handles a server that several daemons cannot reach: probes it if it has flows here. */
+  onServerUnreachable(server: CatalogServer): void {
+    const hasWaiting = this.options.router.hasRetryableCallers(server);
+    if (hasWaiting || this.listIdleFlows(server).length > 0) {
+      void this.resetIfLost(server);
+    }
+  }
+
   /**
-   * Handles a server that several daemons cannot reach. Resets waiting flows whose
-   * requests may be repeated, and idle flows once this daemon's own probe has failed too.
+   * Probes an unreachable server; if that fails too, resets its idle flows and the waiting
+   * ones whose requests may be repeated.
    */
-  async onServerUnreachable(server: CatalogServer): Promise<void> {
-    this.options.packetHandler.resetWaitingCallers(server);
-    const hasIdle = this.listIdleFlows(server).length > 0;
-    if (
-      hasIdle &&
-      (await this.options.reachability.verifyUnreachable(server))
-    ) {
+  async resetIfLost(server: CatalogServer): Promise<void> {
+    if (await this.options.reachability.verifyUnreachable(server)) {
+      this.options.packetHandler.resetWaitingCallers(server);
       this.resetIdleFlows(server);
     }
   }
@@ -197,7 +201,7 @@
     if (catalog.hasEnded(server) && router.isCatalogCurrent()) {
       return RefusalReason.SERVER_GONE;
     }
-    return this.options.reachability.isUnreachable(server.id)
+    return this.options.reachability.isLost(server.id)
       ? RefusalReason.SERVER_UNREACHABLE
       : undefined;
   }
--- a/src/reachability/server-reachability.ts
+++ b/src/reachability/server-reachability.ts
@@ -3,6 +3,7 @@
  * caller retransmits to a server, this daemon and peers in other failure domains probe
  * its host; if every probe fails, the server counts as unreachable and the finding is
  * gossiped. A single daemon can't tell a failed host from a lost packet or a partition.
+ * Those daemons may share one, so no flow is reset before this daemon's probe fails too.
  */
 import type {AffectedServers} from '../catalog/listing-change.js';
 import type {CatalogServer} from '../catalog/records.js';
@@ -13,6 +14,7 @@
 import {ProbeResult, type ServerProber} from '../ports/server-prober.js';
 import {ReachabilityPoll} from './reachability-poll.js';
 import {
+  FINDING_VALIDITY_MS,
   UnreachableServers,
   type ReachabilityFinding,
 } from './unreachable-servers.js';
@@ -74,6 +76,9 @@
   private readonly cooldowns = new Map<string, number>();
   /** End of the time in which each service's findings are ignored; monotonic milliseconds. */
   private readonly findingsIgnoredUntil = new Map<string, number>();
+  /** Until when each server's last failed probe from here counts; monotonic milliseconds. */
+  private readonly failedProbes = new Map<string, number>();
+  private readonly verifications = new Map<string, Promise<boolean>>();
   private activeProbes = 0;
   private isStopped = false;
 
@@ -114,6 +119,12 @@
     );
   }
 
+  /** Whether a server is unreachable, and a recent probe from here failed as well. */
+  isLost(id: string): boolean {
+    const until = this.failedProbes.get(id) ?? -Infinity;
+    return until > this.options.clock.now() && this.isUnreachable(id);
+  }
+
   /** Probes a server for a peer and sends it the result, within the limits. */
   async onProbeRequest(requester: number, id: string): Promise<void> {
     const server = this.options.serverById(id);
@@ -129,18 +140,13 @@
    * Probes a server that peers found unreachable, since those peers may be partitioned
    * themselves. Returns whether it is unreachable from here too; publishes a success.
    */
-  async verifyUnreachable(server: CatalogServer): Promise<boolean> {
-    if (this.activeProbes >= MAX_PROBES) {
-      return false;
-    }
-    const result = await this.probe(server);
-    if (result === ProbeResult.TIMEOUT) {
-      return this.isUnreachable(server.id);
-    }
-    if (!this.isStopped) {
-      this.publishFinding(server, true);
-    }
-    return false;
+  verifyUnreachable(server: CatalogServer): Promise<boolean> {
+    const {id} = server;
+    const verification =
+      this.verifications.get(id) ??
+      this.runVerification(server).finally(() => this.verifications.delete(id));
+    this.verifications.set(id, verification);
+    return verification;
   }
 
   /** Records the vote of a peer in the open poll on a server, if there is one. */
@@ -177,8 +183,17 @@
   onListingChange({changed, departed, restarted}: AffectedServers): void {
     const now = this.options.clock.now();
     changed.forEach(({id}) => this.findings.onListed(id));
+    changed.forEach(({id}) => this.failedProbes.delete(id));
     restarted.forEach(({id}) => this.onRestarted(id));
-    departed.forEach(({id}) => this.findings.onDeparted(id, now));
+    departed.forEach(({id}) => this.onDeparted(id, now));
+  }
+
+  /** A lost server that left the list stays lost: its address may be assigned again. */
+  private onDeparted(id: string, now: number): void {
+    if (this.isLost(id)) {
+      this.failedProbes.set(id, now + this.options.flowLifetimeMs);
+    }
+    this.findings.onDeparted(id, now);
   }
 
   /** Drops the findings and the open poll on the former incarnation. */
@@ -186,6 +201,43 @@
     this.findings.onRestarted(id);
     this.polls.delete(id);
     this.cooldowns.delete(id);
+    this.failedProbes.delete(id);
+  }
+
+  /** Waits while too many probes run, then probes a server that peers cannot reach. */
+  private async runVerification(server: CatalogServer): Promise<boolean> {
+    const {clock} = this.options;
+    const {id} = server;
+    if (this.isStopped || !this.isUnreachable(id) || this.isLost(id)) {
+      return this.isLost(id);
+    }
+    if (this.activeProbes >= MAX_PROBES) {
+      await this.sleepUntil(clock.now() + PROBE_TIMEOUT_MS);
+      return this.runVerification(server);
+    }
+    const result = await this.probe(server);
+    if (result === ProbeResult.TIMEOUT) {
+      this.recordFailedProbe(server);
+    } else if (
+      !this.isStopped &&
+      this.findings.isUnreachable(id, clock.now())
+    ) {
+      this.publishFinding(server, true);
+    }
+    return this.isLost(id);
+  }
+
+  /** Records a failed probe from here, unless the server has restarted since. */
+  private recordFailedProbe({id, startTime}: CatalogServer): void {
+    const now = this.options.clock.now();
+    this.failedProbes.forEach((until, server) => {
+      if (until <= now) {
+        this.failedProbes.delete(server);
+      }
+    });
+    if (this.options.serverById(id)?.startTime === startTime) {
+      this.failedProbes.set(id, now + FINDING_VALIDITY_MS);
+    }
   }
 
   /** Has peers probe a server, probes it as well, and publishes if all probes failed. */
@@ -238,18 +290,22 @@
     }
   }
 
-  /** Logs, merges and gossips a finding, unless the server has restarted since. */
-  private publishFinding(
-    {id, startTime}: CatalogServer,
-    reached: boolean,
-  ): void {
+  /**
+   * Logs, merges and gossips the result of a probe from here, unless the server has
+   * restarted since.
+   */
+  private publishFinding(server: CatalogServer, reached: boolean): void {
     const {log, clock} = this.options;
+    const {id, startTime} = server;
     if (this.options.serverById(id)?.startTime !== startTime) {
       return;
     }
     log.warn(reached ? 'server-reached-again' : 'server-unreachable', {
       server: id,
     });
+    if (!reached) {
+      this.recordFailedProbe(server);
+    }
     this.mergeFinding({server: id, reached, at: clock.now(), startTime});
     this.options.announce();
   }
--- a/src/reachability/unreachable-servers.spec.ts
+++ b/src/reachability/unreachable-servers.spec.ts
@@ -31,6 +31,17 @@
   assert.equal(servers.isUnreachable('s', 2_520), false);
 });
 
+test('a server that answers a probe right after it was found unreachable is reachable', () => {
+  const servers = UnreachableServers.create(FLOW_LIFETIME_MS);
+  const reached = {server: 's', reached: true, at: 20, startTime: 0};
+  servers.merge(silentAt('s', 0), 0);
+  assert.equal(servers.merge(reached, 20), true);
+  assert.equal(servers.isUnreachable('s', 20), false);
+  assert.equal(servers.merge(reached, 30), false, 'it is new only once');
+  assert.equal(servers.merge(silentAt('s', 100), 110), false, 'relayed late');
+  assert.equal(servers.isUnreachable('s', 110), false);
+});
+
 test('an unreachable server whose entry is removed stays unreachable until the entry is back', () => {
   const servers = UnreachableServers.create(FLOW_LIFETIME_MS);
   servers.merge(silentAt('s', 0), 0);
--- a/src/reachability/unreachable-servers.ts
+++ b/src/reachability/unreachable-servers.ts
@@ -4,7 +4,7 @@
  */
 
 /** Time for which a finding is valid: longer than a failed server's entry stays listed. */
-const FINDING_VALIDITY_MS = 3_500;
+export const FINDING_VALIDITY_MS = 3_500;
 /** Time for which a finding is kept so that an older one can't replace it. */
 const FINDING_RETENTION_MS = 15_000;
 /** Age up to which a finding is included in heartbeats. */
@@ -49,10 +49,8 @@
   /** Merges a finding; true if it is new and should be gossiped. */
   merge(finding: ReachabilityFinding, now: number): boolean {
     const known = this.findings.get(finding.server);
-    const isOutdated =
-      now - finding.at > FINDING_VALIDITY_MS ||
-      (known !== undefined && finding.at <= known.at + TIME_TOLERANCE_MS);
-    if (isOutdated) {
+    const isExpired = now - finding.at > FINDING_VALIDITY_MS;
+    if (isExpired || (known !== undefined && !isNewer(finding, known))) {
       return false;
     }
     this.findings.set(finding.server, finding);
@@ -122,3 +120,14 @@
       .forEach(server => this.findings.delete(server));
   }
 }
+
+/** Of two findings that count as one in time, the one that reached the server is newer. */
+function isNewer(
+  finding: ReachabilityFinding,
+  known: ReachabilityFinding,
+): boolean {
+  if (Math.abs(finding.at - known.at) > TIME_TOLERANCE_MS) {
+    return finding.at > known.at;
+  }
+  return finding.reached && !known.reached;
+}
--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -68,6 +68,8 @@
   const loadTracker = ServerLoadTracker.create(hasher);
   const unresponsive: string[] = [];
   const unreachable = new Set<string>();
+  const unverified = new Set<string>();
+  const verified: string[] = [];
   catalog.applyServers({revision: 1, servers, evacuated: []}, clock.now());
   catalog.applyRoutes(
     {version: 1, routes: [ROUTE, DOCS], coldServices: []},
@@ -84,13 +86,24 @@
     onUnresponsive: ({id}) => unresponsive.push(id),
     onUnanswered: () => undefined,
     isUnreachable: id => unreachable.has(id),
+    isLost: id => unreachable.has(id) && !unverified.has(id),
+    onUnverified: ({id}) => verified.push(id),
     regionOf: domain => REGIONS.get(domain),
     coldLimits: {excess: 1.5, slack: 5},
     countDaemons: () => 8,
     ratings: UniformRatings.create(),
     observer: undefined,
   });
-  return {clock, catalog, loadTracker, router, unresponsive, unreachable};
+  return {
+    clock,
+    catalog,
+    loadTracker,
+    router,
+    unresponsive,
+    unreachable,
+    unverified,
+    verified,
+  };
 }
 
 /** Returns the cookie of a server for a destination, as daemons write it into packets. */
@@ -400,3 +413,26 @@
   assert.equal(catalog.isCold(warm, 900), false);
   assert.equal(catalog.isCold(restored, 1_200), false);
 });
+
+test('an open flow is reset only once its unreachable server is lost here too, where the route allows retries', () => {
+  const {router, catalog, unreachable, unverified, verified} = createRouter([
+    serverOf('i-1', 'docs'),
+    serverOf('i-2'),
+  ]);
+  const servers = catalog.allServers();
+  const decide = (id: string, route: CatalogRoute) => {
+    const server = servers.find(each => each.id === id);
+    assert.ok(server !== undefined);
+    const cookie = cookieAt(catalog, server, route);
+    const destinationAddress = route.address;
+    return router.decide(createPacket({cookie, destinationAddress})).verdict;
+  };
+  ['i-1', 'i-2'].forEach(id => unreachable.add(id));
+  unverified.add('i-1');
+  assert.equal(decide('i-1', DOCS), 'forward');
+  assert.deepEqual(verified, ['i-1']);
+  unverified.clear();
+  assert.equal(decide('i-1', DOCS), 'reset');
+  assert.equal(decide('i-2', ROUTE), 'forward');
+  assert.deepEqual(verified, ['i-1']);
+});
--- a/src/routing/cookie-router.ts
+++ b/src/routing/cookie-router.ts
@@ -69,6 +69,10 @@
   readonly counters: Counters;
   /** Time within which a route version has to be in force everywhere, in milliseconds. */
   readonly inForceLimitMs: number;
+  /** Whether a server is unreachable from this daemon as well as for others. */
+  isLost(server: string): boolean;
+  /** Called for a packet to an unreachable server that may be reset once it is lost. */
+  onUnverified(server: CatalogServer): void;
   /** Notified of requests as they end; undefined disables request tracking. */
   readonly observer: RequestObserver | undefined;
   /** Whether packets are retained for resending to restarted servers; off by default. */
@@ -148,35 +152,52 @@
     return {verdict: CookieVerdict.FORWARD, server, cookie: packet.cookie};
   }
 
+  /** Whether a flow awaits an answer from a server where the route allows retries. */
+  hasRetryableCallers(server: CatalogServer): boolean {
+    return this.flows
+      .listWaiting(server.id, this.options.clock.now())
+      .some(({caller}) => this.isRetryable(caller));
+  }
+
   /**
    * Marks the flows that await an answer from a lost server as ended, where the route
    * allows retries, and returns their callers so that they can be reset.
    */
   takeRetryableCallers(server: CatalogServer): CallerPosition[] {
-    const {catalog, clock} = this.options;
     return this.flows.takeWaitingCallers(
       server.id,
-      clock.now(),
-      ({destinationAddress, destinationPort}) =>
-        catalog.findRoute(destinationAddress, destinationPort)?.repeatable ===
-        true,
+      this.options.clock.now(),
+      caller => this.isRetryable(caller),
     );
   }
 
+  private isRetryable({
+    destinationAddress,
+    destinationPort,
+  }: CallerPosition): boolean {
+    const {catalog} = this.options;
+    const route = catalog.findRoute(destinationAddress, destinationPort);
+    return route?.repeatable === true;
+  }
+
   /**
-   * Whether the caller should be reset because its server is unreachable. A request that
-   * must not be retried stays with its server, which may become reachable again.
+   * Whether the caller should be reset because its server is lost. A request that must
+   * not be retried stays with its server, which may become reachable again.
    */
   private shouldResetUnreachable(
     packet: CookiePacket,
     route: KnownRoute,
     server: CatalogServer,
   ): boolean {
-    return (
-      route.repeatable &&
-      !packet.resets &&
-      this.options.isUnreachable(server.id)
-    );
+    const mayReset = route.repeatable && !packet.resets;
+    if (!mayReset || !this.options.isUnreachable(server.id)) {
+      return false;
+    }
+    const isLost = this.options.isLost(server.id);
+    if (!isLost) {
+      this.options.onUnverified(server);
+    }
+    return isLost;
   }
 
   /**
--- a/src/routing/flow-tracker.ts
+++ b/src/routing/flow-tracker.ts
@@ -98,6 +98,15 @@
     return this.flows.get(keyOf(packet));
   }
 
+  /** Returns the flows that await an answer from a server and had a packet recently. */
+  listWaiting(server: string, now: number): TrackedFlow[] {
+    return this.listFlows(server).filter(
+      flow =>
+        flow.hasPendingRequest &&
+        now - flow.lastPacketAt <= MAX_RETRANSMIT_INTERVAL_MS,
+    );
+  }
+
   /**
    * Marks the flows that await an answer from a server as ended, and returns their callers.
    * Flows without a recent packet, and those whose caller `isWanted` rejects, are left out.
@@ -107,11 +116,8 @@
     now: number,
     isWanted: (caller: CallerPosition) => boolean,
   ): CallerPosition[] {
-    const waiting = this.listFlows(server).filter(
-      flow =>
-        flow.hasPendingRequest &&
-        now - flow.lastPacketAt <= MAX_RETRANSMIT_INTERVAL_MS &&
-        isWanted(flow.caller),
+    const waiting = this.listWaiting(server, now).filter(({caller}) =>
+      isWanted(caller),
     );
     waiting.forEach(flow => {
       this.clearPendingRequest(flow);
--- a/standins/cookie-server-fleet.ts
+++ b/standins/cookie-server-fleet.ts
@@ -68,18 +68,23 @@
 
   /**
    * Restarts a server under its id without its former flows, with a new start time and
-   * address.
+   * address. A pause of the former incarnation counts as one of the new one.
    */
   restart(
     former: CookieServer,
     changes: {startTime: number; address: number},
     plan: ServerWorkPlan,
   ): CookieServer {
+    const resumedAt = former.isSilent
+      ? this.options.clock.now()
+      : former.resumedAt;
     former.crash(true);
     if (this.serversByAddress.get(former.entry.address) === former) {
       this.serversByAddress.delete(former.entry.address);
     }
-    return this.start({...former.entry, ...changes}, plan);
+    const server = this.start({...former.entry, ...changes}, plan);
+    server.resumedAt = resumedAt;
+    return server;
   }
 
   /** Returns the latest server with an id, running or not. */
