--- a/src/membership/peer-view.ts
+++ b/src/membership/peer-view.ts
@@ -190,6 +190,15 @@
     if (peers.length <= count) {
       return [...peers];
     }
+    return this.draw(peers, count);
+  }
+
+  /** Returns the peers in random order. */
+  shuffle(peers: readonly PeerDaemon[]): PeerDaemon[] {
+    return this.draw(peers, peers.length);
+  }
+
+  private draw(peers: readonly PeerDaemon[], count: number): PeerDaemon[] {
     const remaining = [...peers];
     return Array.from({length: count}, () => {
       const position = this.options.random.nextInt(remaining.length);
--- a/src/reachability/server-reachability.spec.ts
+++ b/src/reachability/server-reachability.spec.ts
@@ -20,18 +20,19 @@
     failureDomain: 'a',
     random: Random.create(5),
   });
-  Array.from({length: 18}, (_peer, index) =>
-    peers.merge(
-      {
-        address: 10 + index,
-        failureDomain: ['a', 'b', 'c'][index % 3],
-        leaving: false,
-        hasCopy: true,
-        ageMs: 0,
-      },
-      clock.now(),
-    ),
-  );
+  const hearPeers = () =>
+    Array.from({length: 18}, (_peer, index) =>
+      peers.merge(
+        {
+          address: 10 + index,
+          failureDomain: ['a', 'b', 'c'][index % 3],
+          leaving: false,
+          hasCopy: true,
+          ageMs: 0,
+        },
+        clock.now(),
+      ),
+    );
   const state = {isReachable: true, probes: 0};
   const helpers: Array<readonly number[]> = [];
   const reachability = ServerReachability.create({
@@ -61,7 +62,7 @@
       at: clock.now(),
       startTime: SERVER.startTime,
     });
-  return {clock, state, helpers, reachability, hearUnreachable};
+  return {clock, state, helpers, reachability, hearPeers, hearUnreachable};
 }
 
 test('a server that only peers find unreachable is not lost, and is reachable after one probe', async () => {
@@ -115,3 +116,23 @@
   reachability.onListingChange({...change, changed: [SERVER]});
   assert.equal(reachability.isLost(SERVER.id), false);
 });
+
+test('polls on a server have other peers probe it by turns, one of its domain and one of another', async () => {
+  const {clock, helpers, reachability, hearPeers} = createDaemon();
+  const server = {...SERVER, failureDomain: 'b'};
+  const poll = async () => {
+    hearPeers();
+    reachability.investigate(server);
+    await clock.advance(1_500);
+  };
+  await Array.from({length: 8}).reduce<Promise<void>>(
+    previous => previous.then(poll),
+    Promise.resolve(),
+  );
+  const domains = helpers.map(pair => pair.map(address => (address - 10) % 3));
+  assert.deepEqual(new Set(domains.map(String)), new Set(['1,2']));
+  const [first, second] = [0, 1].map(
+    position => new Set(helpers.map(pair => pair[position])).size,
+  );
+  assert.ok(first > 2 && second > 2, `${first} and ${second} of six peers`);
+});
--- a/src/reachability/server-reachability.ts
+++ b/src/reachability/server-reachability.ts
@@ -340,12 +340,13 @@
 
   /**
    * Selects peers to probe a server: one from the server's failure domain if possible, the
-   * other from a further domain. Peers of this daemon's own domain are the last choice.
+   * other from a further domain. Peers of this daemon's own domain are the last choice;
+   * among equal ones the choice is random.
    */
   private selectHelpers({failureDomain}: CatalogServer): PeerDaemon[] {
     const {peers, clock} = this.options;
     const live = peers.live(clock.now()).filter(({leaving}) => !leaving);
-    const candidates = peers.sample(live, live.length);
+    const candidates = peers.shuffle(live);
     const own = this.options.failureDomain;
     const rankOf = (peer: PeerDaemon) =>
       peer.failureDomain === own
