Accept that a reader ceased right after its own read

Statuses of one daemon within 150 ms count as the same time, and only the outcome of an attempt replaced what was known. A reader that stopped or failed within 150 ms of its last read stayed a reader for everyone, itself included, until its status expired. Within the tolerance the states are now ordered: attempt, read, ceased. A late relay of the read does not undo it. As before, a read within 150 ms after it ceased waits for the next one.

--- a/src/catalog/reader-statuses.ts
+++ b/src/catalog/reader-statuses.ts
@@ -17,6 +17,13 @@
  */
 const AGE_TOLERANCE_MS = 150;
 
+/** Order of the states of one daemon whose times count as the same. */
+const STATE_ORDER: readonly ReadState[] = [
+  ReadState.READ_TRYING,
+  ReadState.READ_DONE,
+  ReadState.READ_CEASED,
+];
+
 /** State of one daemon's reads of the store. */
 export interface ReaderStatus {
   /** IPv4 address as an unsigned number. */
@@ -90,10 +97,10 @@
   }
 }
 
-/** Of two statuses of one attempt, the one with its outcome is newer. */
+/** Of two statuses at the same time, the outcome of an attempt is newer, and its end. */
 function isNewer(status: ReaderStatus, known: ReaderStatus): boolean {
   if (Math.abs(status.at - known.at) > AGE_TOLERANCE_MS) {
     return status.at > known.at;
   }
-  return known.state === ReadState.READ_TRYING && status.state !== known.state;
+  return STATE_ORDER.indexOf(status.state) > STATE_ORDER.indexOf(known.state);
 }
