--- a/src/catalog/catalog-reader.ts
+++ b/src/catalog/catalog-reader.ts
@@ -8,6 +8,7 @@
   SourceFailureKind,
   type CatalogReading,
   type CatalogSource,
+  type EventsReading,
   type SourceFailure,
 } from '../ports/catalog-source.js';
 import type {Clock, Timer} from '../ports/clock.js';
@@ -17,7 +18,6 @@
 import {SnapshotWriter} from './snapshot-writer.js';
 import {SnapshotReader} from './snapshot-reader.js';
 import type {ReaderElection} from './reader-election.js';
-import type {CatalogEvents} from './records.js';
 
 /**
  * Length of one wait for events, as a fraction of the propagation limit, and its
@@ -309,7 +309,7 @@
 
   private awaitEvents(
     sentAt: number,
-  ): Promise<Result<CatalogEvents, SourceFailure>> {
+  ): Promise<Result<EventsReading, SourceFailure>> {
     const {catalog, source} = this.options;
     const deadline = sentAt + this.eventWaitMs(sentAt);
     const {serverRevision} = catalog.stamp;
@@ -326,19 +326,14 @@
   }
 
   /**
-   * Applies the result of a wait. One without events confirms the catalog as of its
+   * Applies the result of a wait. One without writes confirms the catalog as of its
    * start, and its end revision is not adopted: if it missed an event, the next wait
    * still returns that event.
    */
-  private applyEvents(events: CatalogEvents, sentAt: number): undefined {
+  private applyEvents(events: EventsReading, sentAt: number): undefined {
     const {catalog, clock} = this.options;
-    const {routes, written, unreadable = [], removed, domains} = events;
-    const isEmpty =
-      routes === undefined &&
-      events.snapshotRevision === undefined &&
-      [written, unreadable, removed, domains].every(({length}) => length === 0);
     this.snapshotWriter.recordWrite(events.snapshotRevision ?? 0);
-    if (isEmpty) {
+    if (events.changeCount === 0) {
       catalog.confirmAll(sentAt);
     } else {
       catalog.applyEvents(events, clock.now());
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -86,6 +86,17 @@
   );
 });
 
+test('a write that says nothing on routes or servers ends one wait of a reader, not each', async () => {
+  const platform = await createPlatform();
+  await platform.clock.advance(2_000);
+  const callsBefore = platform.store.calls;
+  platform.store.putOther();
+  await platform.clock.advance(9_000);
+  const calls = platform.store.calls - callsBefore;
+  assert.ok(calls <= 20, `two readers long-poll with 1.5 s each: ${calls}`);
+  assert.deepEqual(platform.violations, []);
+});
+
 test('daemons that all restart at intervals discover each other within a second', async () => {
   const platform = await createPlatform();
   const names = [...platform.daemons.keys()];
--- a/src/ports/catalog-source.ts
+++ b/src/ports/catalog-source.ts
@@ -53,6 +53,12 @@
   readonly servers: ServerListing;
 }
 
+/** What a wait for events returned. */
+export interface EventsReading extends CatalogEvents {
+  /** Writes reported, those included that change nothing here; 0: none until the deadline. */
+  readonly changeCount: number;
+}
+
 /** An encoded catalog that daemons store at the source for starting daemons. */
 export interface CatalogSnapshot {
   readonly bytes: Uint8Array;
@@ -84,14 +90,11 @@
   abstract readStale(
     deadline: number,
   ): ResultAsync<CatalogReading, SourceFailure>;
-  /**
-   * Waits for writes after `revision`; the events are empty if there are none until
-   * `deadline`.
-   */
+  /** Waits for writes after `revision` until `deadline`. */
   abstract awaitEvents(
     revision: number,
     deadline: number,
-  ): ResultAsync<CatalogEvents, SourceFailure>;
+  ): ResultAsync<EventsReading, SourceFailure>;
   /**
    * Reads the snapshot from a replica that may lag, at a lower cost; undefined if there is
    * none.
--- a/standins/catalog-store.ts
+++ b/standins/catalog-store.ts
@@ -15,6 +15,7 @@
   SourceFailure,
   SourceFailureKind,
   type CatalogReading,
+  type EventsReading,
   type SnapshotWriteOutcome,
   type CatalogSnapshot,
 } from '../src/ports/catalog-source.js';
@@ -95,6 +96,13 @@
     this.appendEvent({revision: this.revision, routes});
   }
 
+  /** Writes a key that is no part of the catalog. */
+  putOther(): void {
+    this.retainState();
+    this.revision += 1;
+    this.appendEvent({revision: this.revision});
+  }
+
   /** Writes a server's entry and returns it with its revisions. */
   putServer(
     server: Omit<CatalogServer, 'revision' | 'createdRevision'>,
@@ -194,12 +202,13 @@
   }
 
   /** Returns the events after a revision; undefined: they were compacted. */
-  eventsAfter(revision: number): CatalogEvents | undefined {
+  eventsAfter(revision: number): EventsReading | undefined {
     if (revision < this.compactedRevision) {
       return undefined;
     }
     const events = this.events.filter(event => event.revision > revision);
     return {
+      changeCount: events.length,
       revision: this.revision,
       routes: events.flatMap(({routes}) => routes ?? []).pop(),
       written: events.flatMap(({written}) => written ?? []),
@@ -336,8 +345,8 @@
   awaitEvents(
     revision: number,
     deadline: number,
-  ): ResultAsync<CatalogEvents, SourceFailure> {
-    const wait = async (): Promise<Result<CatalogEvents, SourceFailure>> => {
+  ): ResultAsync<EventsReading, SourceFailure> {
+    const wait = async (): Promise<Result<EventsReading, SourceFailure>> => {
       const now = this.store.eventsAfter(revision);
       const hasEvents = now === undefined || now.revision > revision;
       if (!hasEvents) {
