--- a/src/ports/catalog-source.ts
+++ b/src/ports/catalog-source.ts
@@ -48,7 +48,7 @@
 
 /** All routes and servers, as of one revision. */
 export interface CatalogReading {
-  /** Undefined if none were ever published. */
+  /** Undefined if none were ever published, or they cannot be read. */
   readonly routes: RouteListing | undefined;
   readonly servers: ServerListing;
 }
