Count nothing at servers for flows beyond the limit

At the limit of tracked flows, the first data packet of each further packet added a request in flight to its server that nothing ended, so the server looked ever busier. An opening at the limit likewise stayed unanswered and set its server aside 25 ms later, one after the other. Both are now counted for tracked flows alone. New test: three requests stayed in flight and the opening was overdue before.

--- a/src/routing/flow-tracker.spec.ts
+++ b/src/routing/flow-tracker.spec.ts
@@ -85,3 +85,28 @@
   record(2, 20, {acknowledged: 700});
   assert.equal(loadTracker.countLocalInFlight('i-1'), 0);
 });
+
+/** Records as many flows as are tracked at most. */
+function fillTracker({record}: ReturnType<typeof createFlows>): void {
+  Array.from({length: 60_000}, (_flow, index) => record(index, 0));
+}
+
+test('flows beyond the limit leave no request in flight and no opening unanswered', () => {
+  const created = createFlows();
+  const {flows, loadTracker, record} = created;
+  fillTracker(created);
+  const other = {sourceAddress: 2, dataLength: 900};
+  [1, 2, 3].forEach(port => record(port, 10, other));
+  record(1, 20, {sourceAddress: 2, acknowledged: 700});
+  record(2, 20, {...other, closes: true});
+  assert.equal(loadTracker.countLocalInFlight('i-1'), 0);
+  const opening = createPacket({sourceAddress: 2, sourcePort: 4, opens: true});
+  flows.recordOpening(opening, SERVER, 30);
+  record(4, 35, {sourceAddress: 2});
+  assert.equal(loadTracker.hasOverdueOpening('i-1', 1_000), false);
+  // A tracked flow is counted as before.
+  record(7, 40, {dataLength: 900});
+  assert.equal(loadTracker.countLocalInFlight('i-1'), 1);
+  record(7, 50, {acknowledged: 700});
+  assert.equal(loadTracker.countLocalInFlight('i-1'), 0);
+});
--- a/src/routing/flow-tracker.ts
+++ b/src/routing/flow-tracker.ts
@@ -175,20 +175,24 @@
     now: number,
   ): void {
     this.removeExpired(now);
-    this.options.loadTracker.recordOpening(server.id, now);
+    const {loadTracker} = this.options;
     const tracked = this.find(packet);
     const expiresAt = now + OPENING_RETENTION_MS;
     if (tracked !== undefined && !tracked.isOpen) {
+      loadTracker.recordOpening(server.id, now);
       tracked.triedServers.push(server);
       tracked.server = server;
       tracked.openingSentAt = now;
       tracked.expiresAt = expiresAt;
       return;
     }
-    this.add(packet, {
+    const isTracked = this.add(packet, {
       ...createFlow(packet, server, now, expiresAt),
       triedServers: [server],
     });
+    if (isTracked) {
+      loadTracker.recordOpening(server.id, now);
+    }
   }
 
   /**
@@ -222,8 +226,11 @@
     if (tracked !== undefined) {
       this.retainPacket(flow, packet);
     }
-    this.updateRequest(flow, packet, now);
-    this.detectRetransmission(flow, packet);
+    if (this.find(packet) === flow) {
+      // Nothing would end the request of a flow that is not tracked.
+      this.updateRequest(flow, packet, now);
+      this.detectRetransmission(flow, packet);
+    }
     const server = flow.triedServers.length > 0 ? flow.server : cookieServer;
     this.options.requestTracker?.recordPacket(
       keyOf(packet),
