Report an overdue opening once during a backoff

An opening sent to a server in backoff, as happens while fewer than half of a service respond, is found overdue by every later selection until the backoff ends, since only the start of one clears it. Each selection then called for a poll on the server: five reports where two were due (new test). The tracker now notes that it was recorded. The opening itself is kept, so that it still starts the next backoff when this one ends.

--- a/src/routing/cookie-router.spec.ts
+++ b/src/routing/cookie-router.spec.ts
@@ -70,6 +70,7 @@
   const unreachable = new Set<string>();
   const unverified = new Set<string>();
   const verified: string[] = [];
+  const unanswered: string[] = [];
   catalog.applyServers({revision: 1, servers, evacuated: []}, clock.now());
   catalog.applyRoutes(
     {version: 1, routes: [ROUTE, DOCS], coldServices: []},
@@ -84,7 +85,7 @@
     inForceLimitMs: 3_000,
     counters: MemoryCounters.create(),
     onUnresponsive: ({id}) => unresponsive.push(id),
-    onUnanswered: () => undefined,
+    onUnanswered: ({id}) => unanswered.push(id),
     isUnreachable: id => unreachable.has(id),
     isLost: id => unreachable.has(id) && !unverified.has(id),
     onUnverified: ({id}) => verified.push(id),
@@ -103,6 +104,7 @@
     unreachable,
     unverified,
     verified,
+    unanswered,
   };
 }
 
@@ -436,3 +438,22 @@
   assert.equal(decide('i-2', ROUTE), 'forward');
   assert.deepEqual(verified, ['i-1']);
 });
+
+test('an overdue opening is reported once, and again when the backoff of its server ends', async () => {
+  const {router, clock, unanswered} = createRouter([serverOf('i-1')]);
+  const startedAt = clock.now();
+  // The second starts a backoff of 800 ms, the third finds the second overdue.
+  [0, 100, 200, 300, 400, 500, 910].forEach(time =>
+    clock.callAt(startedAt + time, () => {
+      router.decide(createPacket({sourcePort: 1_000 + time, opens: true}));
+    }),
+  );
+  await clock.advance(100);
+  assert.equal(unanswered.length, 1);
+  await clock.advance(100);
+  assert.equal(unanswered.length, 2);
+  await clock.advance(300);
+  assert.equal(unanswered.length, 2);
+  await clock.advance(410);
+  assert.equal(unanswered.length, 3);
+});
--- a/src/routing/server-load-tracker.ts
+++ b/src/routing/server-load-tracker.ts
@@ -40,6 +40,8 @@
   backoffUntil: number;
   /** When the oldest unanswered opening packet was sent; Infinity: none. */
   openingSentAt: number;
+  /** Whether that packet was recorded as unanswered although the server is in backoff. */
+  isOverdueRecorded: boolean;
   /** When it last answered; -Infinity: never. */
   answeredAt: number;
 }
@@ -97,6 +99,7 @@
     const state = this.observationOf(server);
     state.answeredAt = now;
     state.openingSentAt = Infinity;
+    state.isOverdueRecorded = false;
     state.backoffCount = 0;
     state.backoffUntil = -Infinity;
   }
@@ -108,23 +111,32 @@
   recordUnanswered(server: string, now: number): boolean {
     const state = this.observationOf(server);
     if (state.backoffUntil > now) {
+      state.isOverdueRecorded ||= this.isOverdue(state, now);
       return false;
     }
     state.openingSentAt = Infinity;
+    state.isOverdueRecorded = false;
     const backoffMs = INITIAL_BACKOFF_MS * 2 ** state.backoffCount;
     state.backoffCount += 1;
     state.backoffUntil = now + Math.min(backoffMs, MAX_BACKOFF_MS);
     return true;
   }
 
-  /** Whether the answer to an opening packet is overdue. */
+  /** Whether the answer to an opening packet is overdue and was not recorded as such. */
   hasOverdueOpening(server: string, now: number): boolean {
     const state = this.observed.get(this.hashes.of(server));
+    if (state === undefined || !this.isOverdue(state, now)) {
+      return false;
+    }
+    return !state.isOverdueRecorded || state.backoffUntil <= now;
+  }
+
+  private isOverdue({openingSentAt}: ServerObservation, now: number): boolean {
     const overdueAfterMs = Math.max(
       MIN_OVERDUE_MS,
       this.averageOpeningAnswerMs * OVERDUE_FACTOR,
     );
-    return state !== undefined && now - state.openingSentAt > overdueAfterMs;
+    return now - openingSentAt > overdueAfterMs;
   }
 
   /** Returns the requests in flight at a server from this daemon and its peers. */
@@ -219,6 +231,7 @@
       backoffCount: 0,
       backoffUntil: -Infinity,
       openingSentAt: Infinity,
+      isOverdueRecorded: false,
       answeredAt: -Infinity,
     };
     this.observed.set(hash, created);
