Relay a probe with the relay's own log position

A probe for another member was passed on with the position and digest of the requester's log under the id of the relay. The probed member then took the relay's confirmation of its own log for lost, and pulled changes of an epoch that the relay does not have, or took them for staged. The relay now sends its own message and passes on the requester's updates, with the suspicion to refute. New test of the fields, which failed before.

--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -285,12 +285,18 @@
       );
   }
 
-  /** Probes another member on behalf of the sender. */
+  /**
+   * Probes another member on behalf of the sender, whose updates it passes on. Everything
+   * else describes this daemon, which the member takes for the sender.
+   */
   private relay(probe: Probe, address: string): void {
+    const subject = this.options.members
+      .others()
+      .find(member => member.address === probe.relayTo);
+    const message = this.message(subject?.id, probe.sequence, false);
     this.options.peers.probe(probe.relayTo, {
-      ...probe,
-      ...this.ownState(),
-      relayTo: '',
+      ...message,
+      updates: [...message.updates, ...probe.updates],
       relayFrom: address,
       load: undefined,
     });
