--- a/src/catalog/catalog-exchange.ts
+++ b/src/catalog/catalog-exchange.ts
@@ -8,6 +8,7 @@
 import type {Log} from '../ports/log.js';
 import {formatIpv4} from '../routing/ipv4.js';
 import {applyUpdate, createUpdate} from './catalog-messages.js';
+import {awaitCatalogChange} from './catalog-wait.js';
 import type {Catalog} from './catalog.js';
 import {CatalogTransferLimiter} from './catalog-transfer-limiter.js';
 
@@ -172,10 +173,7 @@
     const {clock, catalog} = this.options;
     const until = this.options.snapshotExpectedUntil();
     if (until > clock.now()) {
-      await new Promise<void>(resolve => {
-        clock.callAt(until, resolve);
-        catalog.onChange(() => resolve());
-      });
+      await awaitCatalogChange(catalog, clock, until, () => true);
     }
   }
 
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -73,7 +73,7 @@
   private readonly cookieMasks = new Map<number, number>();
   /** Monotonic milliseconds until which a restored domain's servers count as cold. */
   private readonly domainColdUntil = new Map<string, number>();
-  private readonly listeners: CatalogListener[] = [];
+  private readonly listeners = new Set<CatalogListener>();
   private serverRevision = 0;
   private serversConfirmedAt = -Infinity;
 
@@ -89,8 +89,10 @@
     return new Catalog(options);
   }
 
-  onChange(listener: CatalogListener): void {
-    this.listeners.push(listener);
+  /** Adds a listener; the returned function removes it. */
+  onChange(listener: CatalogListener): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
   }
 
   /** Version stamp that daemons compare to detect differing catalogs. */
@@ -402,6 +404,6 @@
   }
 
   private notify(change: CatalogChange): void {
-    this.listeners.forEach(listener => listener(change));
+    [...this.listeners].forEach(listener => listener(change));
   }
 }
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -3,6 +3,7 @@
  * forwards the packets of open flows to the server that their cookie names, and keeps
  * the catalog of routes and servers in sync with its peers by gossip.
  */
+import {awaitCatalogChange} from '../catalog/catalog-wait.js';
 import {Catalog, type CatalogChange} from '../catalog/catalog.js';
 import {ReaderElection} from '../catalog/reader-election.js';
 import {CatalogReader} from '../catalog/catalog-reader.js';
@@ -145,10 +146,10 @@
    */
   async waitUntilReady(deadline: number): Promise<boolean> {
     if (!this.catalog.isComplete && !this.isLeaving) {
-      await new Promise<void>(resolve => {
-        this.options.clock.callAt(deadline, resolve);
-        this.onceComplete(resolve);
-      });
+      const {catalog} = this;
+      const {clock} = this.options;
+      const isComplete = () => catalog.isComplete;
+      await awaitCatalogChange(catalog, clock, deadline, isComplete);
     }
     return this.isReady();
   }
