Cancel the later connection attempts of a probe

Once an attempt succeeded, the timers of the later ones went on until the deadline, and their sockets were opened after the others had been closed: three connections to a server that had answered the first, two of them left open (new test). All timers end with the probe.

--- a/src/adapters/tcp-contact.spec.ts
+++ b/src/adapters/tcp-contact.spec.ts
@@ -3,6 +3,7 @@
 import net, {type AddressInfo} from 'node:net';
 import {test} from 'node:test';
 import {Worker} from 'node:worker_threads';
+import {Clock, type Timer} from '../ports/clock.js';
 import {ProbeResult} from '../ports/server-prober.js';
 import {SystemClock} from './system-clock.js';
 import {TcpContact} from './tcp-contact.js';
@@ -63,3 +64,54 @@
   assert.equal(result, ProbeResult.TIMEOUT);
   assert.ok(clock.now() - startedAt >= CONTACT_TIMEOUT_MS - 1);
 });
+
+/** A clock whose pending calls are counted. */
+class CountingClock extends Clock {
+  pending = 0;
+
+  now(): number {
+    return clock.now();
+  }
+
+  wall(): number {
+    return clock.wall();
+  }
+
+  callAt(deadline: number, task: () => void): Timer {
+    this.pending += 1;
+    let isPending = true;
+    const settle = () => {
+      this.pending -= isPending ? 1 : 0;
+      isPending = false;
+    };
+    const timer = clock.callAt(deadline, () => {
+      settle();
+      task();
+    });
+    return {
+      cancel: () => {
+        settle();
+        timer.cancel();
+      },
+    };
+  }
+}
+
+test('a host that was reached gets no further connection, and no timer is left', async () => {
+  const counting = new CountingClock();
+  const contact = TcpContact.create(counting);
+  let connections = 0;
+  const server = net.createServer(socket => {
+    connections += 1;
+    socket.on('error', () => undefined);
+  });
+  const port = await listen(server);
+  const deadline = clock.now() + CONTACT_TIMEOUT_MS;
+  const result = await contact.probe({address: LOOPBACK, port}, deadline);
+  assert.equal(result, ProbeResult.REACHED);
+  const pendingAfterProbe = counting.pending;
+  await new Promise(resolve => setTimeout(resolve, 2 * CONTACT_TIMEOUT_MS));
+  server.close();
+  assert.equal(connections, 1);
+  assert.equal(pendingAfterProbe, 0);
+});
--- a/src/adapters/tcp-contact.ts
+++ b/src/adapters/tcp-contact.ts
@@ -3,7 +3,7 @@
  * A live host accepts or refuses within a round trip, even while its server is busy.
  */
 import net from 'node:net';
-import type {Clock} from '../ports/clock.js';
+import type {Clock, Timer} from '../ports/clock.js';
 import {ProbeResult, ServerProber} from '../ports/server-prober.js';
 import {formatIpv4} from '../routing/ipv4.js';
 
@@ -32,6 +32,7 @@
     const {clock} = this;
     const begin = clock.now();
     const sockets: net.Socket[] = [];
+    const timers: Timer[] = [];
     const result = await new Promise<ProbeResult>(resolve => {
       const connect = () => {
         const socket = net.connect({host: formatIpv4(address), port});
@@ -40,14 +41,14 @@
         // A refusal proves that the host is up; other errors are no evidence that it is down.
         socket.on('error', () => resolve(ProbeResult.REACHED));
       };
-      const timers = ATTEMPT_START_FRACTIONS.map(share =>
-        clock.callAt(begin + (deadline - begin) * share, connect),
+      timers.push(
+        ...ATTEMPT_START_FRACTIONS.map(share =>
+          clock.callAt(begin + (deadline - begin) * share, connect),
+        ),
+        clock.callAt(deadline, () => resolve(ProbeResult.TIMEOUT)),
       );
-      clock.callAt(deadline, () => {
-        timers.forEach(timer => timer.cancel());
-        resolve(ProbeResult.TIMEOUT);
-      });
     });
+    timers.forEach(timer => timer.cancel());
     sockets.forEach(socket => socket.destroy());
     return result;
   }
