--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -31,6 +31,7 @@
 /** Time limit for an edit to become active on all daemons. */
 const MAX_WAIT_MS = 30_000;
 const POLL_INTERVAL_MS = 100;
+const REVISION_PATTERN = /^\d+$/;
 
 /** Options of `apply`. */
 export interface ApplyOptions extends CommonOptions {
@@ -83,6 +84,10 @@
   files: readonly string[],
   options: ApplyOptions,
 ): Promise<ExitCode> {
+  if (options.base !== undefined && !REVISION_PATTERN.test(options.base)) {
+    printError(`--base: "${options.base}" is not the number of a revision`);
+    return ExitCode.USAGE_ERROR;
+  }
   const changes = readChanges(files, options.remove);
   if (changes.isErr()) {
     printError(changes.error.message);
@@ -179,11 +184,18 @@
   return missing;
 }
 
-async function listDaemonsBehind(
+/**
+ * Lists the daemons on which a revision is not active; names the instance list while it
+ * is unavailable, since nothing is known then.
+ */
+export async function listDaemonsBehind(
   platform: Platform,
   revision: number,
 ): Promise<string[]> {
-  const statuses = await platform.readStatuses();
+  const statuses = await platform.readListedStatuses();
+  if (statuses === undefined) {
+    return ['the instance list'];
+  }
   return statuses
     .filter(({answer}) => (answer?.revision ?? 0) < revision)
     .map(({id}) => id);
--- a/src/cli/observation-commands.ts
+++ b/src/cli/observation-commands.ts
@@ -204,9 +204,14 @@
   unsorted: readonly TimelineEvent[],
   options: TimelineOptions,
 ): ExitCode {
+  const sinceMs =
+    options.since === undefined ? undefined : Date.parse(options.since);
+  if (Number.isNaN(sinceMs)) {
+    printError(`--since: "${options.since}" is not an ISO time`);
+    return ExitCode.USAGE_ERROR;
+  }
   const events = mergeEvents(unsorted, {
-    sinceMs:
-      options.since === undefined ? undefined : Date.parse(options.since),
+    sinceMs,
     contains: [
       options.flow ?? [],
       options.request ?? [],
--- a/src/cli/platform.ts
+++ b/src/cli/platform.ts
@@ -63,8 +63,13 @@
     );
   }
 
-  /** Requests the status of every live or leaving daemon. */
+  /** Requests the status of every live or leaving daemon; none if the list is unavailable. */
   async readStatuses(): Promise<DaemonAnswer<StatusReply>[]> {
+    return (await this.readListedStatuses()) ?? [];
+  }
+
+  /** Requests the same statuses; undefined if the instance list is unavailable. */
+  async readListedStatuses(): Promise<DaemonAnswer<StatusReply>[] | undefined> {
     return this.askAll<StatusReply>((client, ...rest) =>
       client.status({}, ...rest),
     );
@@ -72,9 +77,10 @@
 
   /** Requests the timeline of every live or leaving daemon. */
   async readTimelines(): Promise<DaemonAnswer<TimelineReply>[]> {
-    return this.askAll<TimelineReply>((client, ...rest) =>
+    const answers = await this.askAll<TimelineReply>((client, ...rest) =>
       client.timeline({limit: MAX_TIMELINE_EVENTS}, ...rest),
     );
+    return answers ?? [];
   }
 
   /** Closes the connections. */
@@ -88,16 +94,15 @@
       client: ControlClient,
       ...rest: Parameters<Parameters<typeof callUnary<T>>[2]>
     ) => {cancel(): void},
-  ): Promise<DaemonAnswer<T>[]> {
+  ): Promise<DaemonAnswer<T>[] | undefined> {
     const listing = await this.list.list();
-    const daemons = listing
-      .map(({instances}) =>
-        instances.filter(
-          ({role, state}) =>
-            role === InstanceRole.DAEMON && state !== InstanceState.GONE,
-        ),
-      )
-      .unwrapOr([]);
+    if (listing.isErr()) {
+      return undefined;
+    }
+    const daemons = listing.value.instances.filter(
+      ({role, state}) =>
+        role === InstanceRole.DAEMON && state !== InstanceState.GONE,
+    );
     return Promise.all(
       daemons.map(async ({id, controlAddress}) => {
         const client = new ControlClient(
