Log why a stopping daemon leaves, and whether a departed server still gets new flows

Change: 'leaving' has the reason, the wait and the peers of the failure domain by state; 'server-departed' has the last state and whether the entry may have expired in a store outage. No decision changes: the same peers are counted as before.

--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -178,6 +178,14 @@
     return this.servers.openServers(service);
   }
 
+  /**
+   * Whether a departed server's entry may have expired in a store outage, so that it still
+   * gets new flows.
+   */
+  mayHaveExpired(id: string): boolean {
+    return this.servers.mayHaveExpired(id);
+  }
+
   /** Returns the failure domains whose servers accept no new flows. */
   evacuatedDomains(): string[] {
     return this.servers.evacuatedDomains();
--- a/src/catalog/known-servers.ts
+++ b/src/catalog/known-servers.ts
@@ -103,6 +103,11 @@
     return expired.length === 0 ? listed : [...listed, ...expired];
   }
 
+  /** Whether a departed server's entry may have expired in a store outage. */
+  mayHaveExpired(id: string): boolean {
+    return this.departedServers.listExpired().some(server => server.id === id);
+  }
+
   /** Returns the failure domains whose servers accept no new flows. */
   evacuatedDomains(): string[] {
     return this.table.evacuatedDomains();
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -34,6 +34,7 @@
 import {
   catalogVersionFields,
   logCatalogChange,
+  peerCapacityFields,
   processTimeFields,
 } from './log-fields.js';
 import {PacketHandler} from './packet-handler.js';
@@ -192,10 +193,15 @@
       lastPacketAt: () => this.packetHandler.lastPacketAt,
     });
     log.warn('stopping', this.versionFields());
-    await shutdown.awaitPeerCapacity();
+    const stoppingAt = clock.now();
+    const capacity = await shutdown.awaitPeerCapacity();
     this.isLeaving = true;
     this.election.recordLeaving(clock.now());
-    log.warn('leaving', this.versionFields());
+    log.warn('leaving', {
+      ...this.versionFields(),
+      ...peerCapacityFields(capacity),
+      waitedMs: Math.round(clock.now() - stoppingAt),
+    });
     this.gossip.announce();
     await shutdown.awaitTrafficEnd();
     this.reachability.stop();
@@ -397,7 +403,12 @@
 
   /** Logs a change, passes it on, and drops the load records of departed servers. */
   private onCatalogChange(change: CatalogChange): void {
-    logCatalogChange(this.options.log, change, this.versionFields());
+    logCatalogChange(
+      this.options.log,
+      this.catalog,
+      change,
+      this.versionFields(),
+    );
     this.reachability.onListingChange(change);
     this.terminator.onCatalogChange(change);
     this.feedback?.onCatalogChange(change);
--- a/src/entry/graceful-shutdown.spec.ts
+++ b/src/entry/graceful-shutdown.spec.ts
@@ -39,7 +39,7 @@
 }
 
 /** Records the virtual time at which a promise resolves. */
-function watchEnd(clock: FakeClock, promise: Promise<void>) {
+function watchEnd(clock: FakeClock, promise: Promise<unknown>) {
   const end = {at: Infinity};
   void promise.then(() => (end.at = clock.now()));
   return end;
--- a/src/entry/graceful-shutdown.ts
+++ b/src/entry/graceful-shutdown.ts
@@ -23,6 +23,18 @@
 /** Time reserved for forwarding after the wait for other daemons. */
 const DRAIN_RESERVE_MS = 1_800;
 
+/** How the wait for other daemons ended. */
+export interface PeerCapacity {
+  /** Whether more of the failure domain's other daemons are ready than not. */
+  readonly isSufficient: boolean;
+  /** Other daemons of the failure domain that are ready. */
+  readonly ready: number;
+  /** Those that are leaving or have left. */
+  readonly leaving: number;
+  /** Those that fell silent without leaving. */
+  readonly missing: number;
+}
+
 /** Dependencies and limits of a `GracefulShutdown`. */
 export interface GracefulShutdownOptions {
   readonly clock: Clock;
@@ -49,9 +61,10 @@
   }
 
   /** Waits until more of the domain's other daemons are ready than not. */
-  async awaitPeerCapacity(): Promise<void> {
+  async awaitPeerCapacity(): Promise<PeerCapacity> {
     const latest = this.deadline - DRAIN_RESERVE_MS;
-    await this.pollUntil(() => this.canLeave(), latest);
+    await this.pollUntil(() => this.countPeers().isSufficient, latest);
+    return this.countPeers();
   }
 
   /** Waits until the fabric sends no more packets. */
@@ -65,18 +78,23 @@
   }
 
   /** Counts only the peers in this daemon's view, which is partial in a large domain. */
-  private canLeave(): boolean {
+  private countPeers(): PeerCapacity {
     const {peers, clock, failureDomain} = this.options;
     const now = clock.now();
     const ready = peers
       .live(now)
       .filter(peer => peer.failureDomain === failureDomain && !peer.leaving);
-    const notReady = new Set(
-      [...peers.leaving(now), ...peers.missing(now)].map(
-        ({address}) => address,
-      ),
-    );
-    return notReady.size === 0 || ready.length > notReady.size;
+    const leaving = new Set(peers.leaving(now).map(({address}) => address));
+    const missing = peers
+      .missing(now)
+      .filter(({address}) => !leaving.has(address));
+    const notReady = leaving.size + missing.length;
+    return {
+      isSufficient: notReady === 0 || ready.length > notReady,
+      ready: ready.length,
+      leaving: leaving.size,
+      missing: missing.length,
+    };
   }
 
   private async pollUntil(isMet: () => boolean, latest: number): Promise<void> {
--- a/src/entry/log-fields.ts
+++ b/src/entry/log-fields.ts
@@ -4,6 +4,7 @@
 import type {CallerPosition} from '../ports/cookie-fabric.js';
 import type {Log, LogFields} from '../ports/log.js';
 import {formatIpv4} from '../routing/ipv4.js';
+import type {PeerCapacity} from './graceful-shutdown.js';
 
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
@@ -37,9 +38,21 @@
   };
 }
 
+/** Why a daemon that is stopping leaves now, and the peers that it knows of. */
+export function peerCapacityFields(capacity: PeerCapacity): LogFields {
+  const {isSufficient, ready, leaving, missing} = capacity;
+  return {
+    reason: isSufficient ? 'enough peers ready' : 'time limit',
+    readyPeers: ready,
+    leavingPeers: leaving,
+    missingPeers: missing,
+  };
+}
+
 /** Logs one line per changed item of the catalog; `versions` are those after it. */
 export function logCatalogChange(
   log: Log,
+  catalog: Catalog,
   change: CatalogChange,
   versions: LogFields,
 ): void {
@@ -61,8 +74,13 @@
       cause: cause === '' ? 'reported by a peer' : cause,
     }),
   );
-  change.departed.forEach(({id, service}) =>
-    log.info('server-departed', {server: id, service}),
+  change.departed.forEach(({id, service, state}) =>
+    log.info('server-departed', {
+      server: id,
+      service,
+      state,
+      mayHaveExpired: catalog.mayHaveExpired(id),
+    }),
   );
   change.domains.forEach(({failureDomain, isEvacuated}) =>
     log.warn(isEvacuated ? 'domain-evacuated' : 'domain-restored', {
