The last ready daemon of a failure domain leaves at once while another domain serves

Callers saw: while daemons were stopped and others of their domain were frozen or dark, requests of that domain were late or failed for as long as one daemon waited for the others. Cause: below half of a domain's daemons the routers send to all of them, frozen ones included; with none ready they use the nearest domains. The last ready one of three held the domain in the first state: it waited for a peer that was leaving, while that peer forwarded until its own limit, because the routers went on sending to it. Change: a daemon leaves at once if no other one of its domain is ready and one elsewhere is. With one ready besides it still waits. The line 'leaving' names the reason. Test: graceful-shutdown.spec; the first of the two new ones failed before.

--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -33,8 +33,8 @@
 import {FlowTerminator} from './flow-terminator.js';
 import {
   catalogVersionFields,
+  leaveFields,
   logCatalogChange,
-  peerCapacityFields,
   processTimeFields,
 } from './log-fields.js';
 import {PacketHandler} from './packet-handler.js';
@@ -194,12 +194,12 @@
     });
     log.warn('stopping', this.versionFields());
     const stoppingAt = clock.now();
-    const capacity = await shutdown.awaitPeerCapacity();
+    const leave = await shutdown.awaitPeerCapacity();
     this.isLeaving = true;
     this.election.recordLeaving(clock.now());
     log.warn('leaving', {
       ...this.versionFields(),
-      ...peerCapacityFields(capacity),
+      ...leaveFields(leave),
       waitedMs: Math.round(clock.now() - stoppingAt),
     });
     this.gossip.announce();
--- a/src/entry/graceful-shutdown.spec.ts
+++ b/src/entry/graceful-shutdown.spec.ts
@@ -30,12 +30,12 @@
     stopLimitMs: STOP_LIMIT_MS,
     lastPacketAt: () => seen.lastPacketAt,
   });
-  const reportPeer = (address: number, leaving: boolean) =>
+  const reportPeer = (address: number, leaving: boolean, domain = 'a') =>
     peers.merge(
       {
         address,
         ageMs: 0,
-        failureDomain: 'a',
+        failureDomain: domain,
         leaving,
         hasCopy: true,
       },
@@ -125,3 +125,25 @@
     `${Math.max(...withdrawals)} ms after the signal`,
   );
 });
+
+// The wait kept the fabric sending to frozen peers, since fewer than half were ready.
+test('the last ready daemon of a failure domain leaves at once while another domain serves', async () => {
+  const {clock, shutdown, reportPeer} = createShutdown();
+  const start = clock.now();
+  reportPeer(2, true);
+  reportPeer(3, true);
+  reportPeer(4, false, 'b');
+  const end = watchEnd(clock, shutdown.awaitPeerCapacity());
+  await clock.advance(0);
+  assert.equal(end.at, start);
+});
+
+test('a daemon waits although another domain serves while its own has a ready daemon besides', async () => {
+  const {clock, shutdown, reportPeer} = createShutdown();
+  reportPeer(2, true);
+  reportPeer(3, false);
+  reportPeer(4, false, 'b');
+  const end = watchEnd(clock, shutdown.awaitPeerCapacity());
+  await clock.advance(1_000);
+  assert.equal(end.at, Infinity);
+});
--- a/src/entry/graceful-shutdown.ts
+++ b/src/entry/graceful-shutdown.ts
@@ -1,10 +1,11 @@
 /**
- * Timing of a graceful shutdown: waits until enough other daemons of the failure domain
- * are ready, and then until the fabric sends no more packets.
+ * Timing of a graceful shutdown: waits until callers are served without this daemon, and
+ * then until the fabric sends no more packets.
  *
  * A fabric that finds fewer than half of a domain's daemons ready sends packets to all of
- * them, ended ones included. Daemons that are stopped in close succession therefore wait
- * for those stopped before to come back.
+ * them, ended ones included; one that finds none uses the nearest domains. Daemons that
+ * are stopped in close succession therefore wait for those stopped before to come back,
+ * but the last ready one of a domain leaves at once.
  */
 import type {PeerView} from '../membership/peer-view.js';
 import type {Clock} from '../ports/clock.js';
@@ -28,16 +29,32 @@
  */
 const MAX_CAPACITY_WAIT_MS = 2_200;
 
-/** How the wait for other daemons ended. */
-export interface PeerCapacity {
-  /** Whether more of the failure domain's other daemons are ready than not. */
-  readonly isSufficient: boolean;
-  /** Other daemons of the failure domain that are ready. */
+/** Why a daemon that is stopping reports not ready now. */
+export const LeaveReason = {
+  /** The fabric still finds at least half of the failure domain's daemons ready. */
+  DOMAIN_SUFFICES: 'domain suffices',
+  /** The fabric uses other failure domains when it finds no daemon of this one ready. */
+  OTHER_DOMAINS_SERVE: 'other domains serve',
+  TIME_LIMIT: 'time limit',
+} as const;
+/** A value of `LeaveReason`. */
+export type LeaveReason = (typeof LeaveReason)[keyof typeof LeaveReason];
+
+/** Numbers of other daemons, as known to one daemon. */
+export interface PeerCounts {
+  /** Ready daemons of the own failure domain. */
   readonly ready: number;
-  /** Those that are leaving or have left. */
+  /** Daemons of the own failure domain that are leaving or have left. */
   readonly leaving: number;
-  /** Those that fell silent without leaving. */
+  /** Daemons of the own failure domain that fell silent without leaving. */
   readonly missing: number;
+  /** Ready daemons of other failure domains. */
+  readonly readyElsewhere: number;
+}
+
+/** The end of the wait for other daemons. */
+export interface Leave extends PeerCounts {
+  readonly reason: LeaveReason;
 }
 
 /** Dependencies and limits of a `GracefulShutdown`. */
@@ -73,13 +90,17 @@
     return new GracefulShutdown(options);
   }
 
-  /** Waits until more of the domain's other daemons are ready than not. */
-  async awaitPeerCapacity(): Promise<PeerCapacity> {
+  /** Waits until callers are served without this daemon, or for a limited time. */
+  async awaitPeerCapacity(): Promise<Leave> {
     await this.pollUntil(
-      () => this.countPeers().isSufficient,
+      () => findLeaveReason(this.countPeers()) !== undefined,
       this.capacityDeadline,
     );
-    return this.countPeers();
+    const counts = this.countPeers();
+    return {
+      ...counts,
+      reason: findLeaveReason(counts) ?? LeaveReason.TIME_LIMIT,
+    };
   }
 
   /** Waits until the fabric sends no more packets. */
@@ -92,23 +113,23 @@
     await this.pollUntil(hasTrafficEnded, this.deadline);
   }
 
-  /** Counts only the peers in this daemon's view, which is partial in a large domain. */
-  private countPeers(): PeerCapacity {
+  /** Counts only the peers in this daemon's view, which is partial in a large fleet. */
+  private countPeers(): PeerCounts {
     const {peers, clock, failureDomain} = this.options;
     const now = clock.now();
-    const ready = peers
-      .live(now)
-      .filter(peer => peer.failureDomain === failureDomain && !peer.leaving);
+    const ready = peers.live(now).filter(({leaving}) => !leaving);
+    const readyHere = ready.filter(
+      peer => peer.failureDomain === failureDomain,
+    );
     const leaving = new Set(peers.leaving(now).map(({address}) => address));
     const missing = peers
       .missing(now)
       .filter(({address}) => !leaving.has(address));
-    const notReady = leaving.size + missing.length;
     return {
-      isSufficient: notReady === 0 || ready.length > notReady,
-      ready: ready.length,
+      ready: readyHere.length,
       leaving: leaving.size,
       missing: missing.length,
+      readyElsewhere: ready.length - readyHere.length,
     };
   }
 
@@ -121,3 +142,14 @@
     }
   }
 }
+
+/** Returns why a daemon with these peers may leave; undefined: it should wait. */
+function findLeaveReason(counts: PeerCounts): LeaveReason | undefined {
+  const notReady = counts.leaving + counts.missing;
+  if (notReady === 0 || counts.ready > notReady) {
+    return LeaveReason.DOMAIN_SUFFICES;
+  }
+  return counts.ready === 0 && counts.readyElsewhere > 0
+    ? LeaveReason.OTHER_DOMAINS_SERVE
+    : undefined;
+}
--- a/src/entry/log-fields.ts
+++ b/src/entry/log-fields.ts
@@ -4,7 +4,7 @@
 import type {CallerPosition} from '../ports/cookie-fabric.js';
 import type {Log, LogFields} from '../ports/log.js';
 import {formatIpv4} from '../routing/ipv4.js';
-import type {PeerCapacity} from './graceful-shutdown.js';
+import type {Leave} from './graceful-shutdown.js';
 
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
@@ -39,13 +39,13 @@
 }
 
 /** Why a daemon that is stopping leaves now, and the peers that it knows of. */
-export function peerCapacityFields(capacity: PeerCapacity): LogFields {
-  const {isSufficient, ready, leaving, missing} = capacity;
+export function leaveFields(leave: Leave): LogFields {
   return {
-    reason: isSufficient ? 'enough peers ready' : 'time limit',
-    readyPeers: ready,
-    leavingPeers: leaving,
-    missingPeers: missing,
+    reason: leave.reason,
+    readyPeers: leave.ready,
+    leavingPeers: leave.leaving,
+    missingPeers: leave.missing,
+    readyElsewhere: leave.readyElsewhere,
   };
 }
 
