A gap between reads counts as a store outage only if a read failed in it

Callers saw: new flows still went to servers that had left, up to 5 s after their entries were removed (bound 3 s), when both readers of the store were lost at that moment. Cause: a daemon took each gap of more than 2.6 s between confirmations for a store outage, in which entries of live servers expire, and went on to open flows at the missing servers. Confirmations date from the start of a wait of 1.5 s, so losing both readers alone makes such a gap (1.5 s + 2.25 s lease + 0.5 s election). A server that leaves without saying draining in that time is open until a read confirms the end of 2.6 s, and each later gap starts that time again. Evidence: simulated fleet, readers killed, entry removed: openings until 4.96 s after it, store available throughout. Change: a gap is an outage only if a read failed in it, at this daemon or at one whose status was heard; new flows to an expired server end by the clock, not with the next read, and only a further outage extends them. A server missing after another gap is treated as one that left unannounced: no new flows, open ones stay for 20 s (so no reset after 2.6 s either, which FLOW forbids).

--- a/src/catalog/catalog-gossip.ts
+++ b/src/catalog/catalog-gossip.ts
@@ -5,11 +5,12 @@
  * few, and changes are relayed at once.
  */
 import type {EvidenceExchange} from '../feedback/evidence-exchange.js';
-import type {
-  Beat,
-  PeerAge,
-  ServerEvidence,
-  ServerWork,
+import {
+  ReadState,
+  type Beat,
+  type PeerAge,
+  type ServerEvidence,
+  type ServerWork,
 } from '../generated/catalog.js';
 import type {PeerDaemon} from '../membership/peer-daemon.js';
 import type {PeerView} from '../membership/peer-view.js';
@@ -523,14 +524,16 @@
     heartbeat: Beat,
     now: number,
   ): number {
-    const {election} = this.options;
+    const {election, catalog} = this.options;
     const known = heartbeat.reads.filter(({state}) => isKnownReadState(state));
     if (known.length < heartbeat.reads.length) {
       this.unknownContent.report(sender, 'reader state', now);
     }
-    const gains = known
-      .map(status => decodeReaderStatus(status, now))
-      .map(status => election.mergePeerStatus(status, now));
+    const statuses = known.map(status => decodeReaderStatus(status, now));
+    statuses
+      .filter(({state}) => state === ReadState.READ_CEASED)
+      .forEach(({at}) => catalog.recordReadFailure(at));
+    const gains = statuses.map(status => election.mergePeerStatus(status, now));
     if (gains.includes(Infinity)) {
       this.options.onElectionChange();
     }
--- a/src/catalog/catalog-reader.ts
+++ b/src/catalog/catalog-reader.ts
@@ -373,6 +373,7 @@
     }
     this.consecutiveFailures += 1;
     this.resetConfirmationTimeout();
+    this.options.catalog.recordReadFailure(clock.now());
     election.recordFailure(clock.now());
     this.options.announce();
     log.warn(
--- a/src/catalog/catalog.spec.ts
+++ b/src/catalog/catalog.spec.ts
@@ -43,7 +43,7 @@
 
 function openIds(catalog: Catalog): string[] {
   return catalog
-    .openServers('pay')
+    .openServers('pay', catalog.stamp.serversConfirmedAt)
     .map(({id}) => id)
     .sort();
 }
@@ -69,6 +69,7 @@
     0,
   );
   // After a store outage the entry may have expired although its server is alive.
+  catalog.recordReadFailure(5_000);
   catalog.applyServers({revision: 5, servers: [other], evacuated: []}, 10_000);
   assert.deepEqual(openIds(catalog), ['i-1', 'i-2']);
   const next = createServer('i-3', 6, {address: 7, service: 'docs'});
@@ -286,6 +287,7 @@
   const servers = [expired, other];
   catalog.applyServers({revision: 2, servers, evacuated: []}, 0);
   // After a store outage the entry may have expired although its server is alive.
+  catalog.recordReadFailure(5_000);
   const after = {revision: 5, servers: [other], evacuated: ['b']};
   catalog.applyServers(after, 10_000);
   assert.deepEqual(openIds(catalog), ['i-2']);
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -171,11 +171,11 @@
   }
 
   /**
-   * Returns the servers of a service that accept new flows, including those whose entries
-   * may have expired in a store outage.
+   * Returns the servers of a service that accept new flows at `now`, in monotonic
+   * milliseconds, including those whose entries may have expired in a store outage.
    */
-  openServers(service: string): readonly CatalogServer[] {
-    return this.servers.openServers(service);
+  openServers(service: string, now: number): readonly CatalogServer[] {
+    return this.servers.openServers(service, now);
   }
 
   /**
@@ -317,6 +317,14 @@
     return this.servers.changesSince(revision);
   }
 
+  /**
+   * Records that a daemon failed to read the store at a time, in monotonic milliseconds.
+   * Entries may have expired since the latest read.
+   */
+  recordReadFailure(at: number): void {
+    this.servers.recordReadFailure(at);
+  }
+
   /** Records that the store held no newer data at a time. */
   confirmAll(at: number): void {
     this.routes.confirm(at);
--- a/src/catalog/departed-servers.ts
+++ b/src/catalog/departed-servers.ts
@@ -1,7 +1,8 @@
 /**
  * Backend servers that left the list. During a store outage the entry of a live server
  * may expire, so a departed server counts as ended only after the list was read without
- * it, and without a gap between reads, for a grace period.
+ * it, and without a gap between reads, for a grace period. A gap is an outage only if a
+ * read failed in it: the readers may have been lost while the store was available.
  */
 import {ServerState, type CatalogServer} from './records.js';
 
@@ -18,8 +19,8 @@
  */
 const UNANNOUNCED_SHUTDOWN_MS = 20_000;
 
-/** Longest gap between reads that does not count as a store outage: three missed reads. */
-const OUTAGE_READ_GAP_MS = 2_600;
+/** Longest time between two reads that is no gap: three missed reads. */
+const MAX_READ_INTERVAL_MS = 2_600;
 
 /** A server that is not in the newest list. */
 interface Departure {
@@ -30,6 +31,11 @@
   readonly graceMs: number;
   /** Whether the entry may have expired in an outage; new flows are still sent to it. */
   readonly mayHaveExpired: boolean;
+  /**
+   * When new flows to it end, unless another outage begins; -Infinity if it gets none.
+   * Monotonic milliseconds.
+   */
+  openUntil: number;
   isEnded: boolean;
   /** Monotonic milliseconds after which no flow can name the server. */
   readonly evictAt: number;
@@ -45,11 +51,13 @@
   private readonly idsWithoutRecord = new Map<string, number>();
   /** Ended servers that `takeEnded` has not returned yet. */
   private newlyEnded: CatalogServer[] = [];
-  /** Cached result of `listExpired`; undefined when it has to be computed again. */
-  private expiredServers: readonly CatalogServer[] | undefined;
   private confirmedAt = -Infinity;
   /** Monotonic milliseconds since which reads have had no gap. */
   private gaplessSince = -Infinity;
+  /** Monotonic milliseconds of the latest failed read by any daemon. */
+  private readFailedAt = -Infinity;
+  /** Monotonic milliseconds of the first read after the latest store outage. */
+  private outageEndedAt = -Infinity;
 
   private constructor(
     /** Maximum lifetime of a flow. */
@@ -60,19 +68,26 @@
     return new DepartedServers(flowLifetimeMs);
   }
 
+  /** Records that a daemon failed to read the list at a time. */
+  recordReadFailure(at: number): void {
+    this.readFailedAt = Math.max(this.readFailedAt, at);
+  }
+
   /** Records that the list was read at a time; returns the ids of evicted servers. */
   confirm(at: number): string[] {
     if (at <= this.confirmedAt) {
       return [];
     }
-    if (at - this.confirmedAt > OUTAGE_READ_GAP_MS) {
+    if (this.isOutage(at)) {
+      this.endOutage(at);
+    }
+    if (this.isGap(at)) {
       this.gaplessSince = at;
       this.departures.forEach(departure => {
         departure.missingSince = Math.max(departure.missingSince, at);
       });
     }
     this.confirmedAt = at;
-    this.expiredServers = undefined;
     this.departures.forEach(departure => {
       if (at - departure.missingSince >= departure.graceMs) {
         this.markEnded(departure);
@@ -92,9 +107,8 @@
   /** Adds a server that is missing from the list read at `at`. */
   add(server: CatalogServer, at: number): void {
     const isDrained = server.state === ServerState.DRAINING;
-    this.expiredServers = undefined;
-    const mayHaveExpired =
-      !isDrained && at - this.gaplessSince < REREGISTRATION_GRACE_MS;
+    const openUntil = this.outageEndedAt + REREGISTRATION_GRACE_MS;
+    const mayHaveExpired = !isDrained && at < openUntil;
     const hasKnownCause = isDrained || mayHaveExpired;
     this.departures.set(server.id, {
       server,
@@ -103,6 +117,7 @@
         ? REREGISTRATION_GRACE_MS
         : UNANNOUNCED_SHUTDOWN_MS,
       mayHaveExpired,
+      openUntil: mayHaveExpired ? at + REREGISTRATION_GRACE_MS : -Infinity,
       isEnded: false,
       evictAt: at + this.flowLifetimeMs,
     });
@@ -115,14 +130,12 @@
 
   /** Removes a server that is listed again. */
   remove(id: string): void {
-    this.expiredServers = undefined;
     this.departures.delete(id);
     this.idsWithoutRecord.delete(id);
   }
 
   /** Marks the servers at an address as ended, since a newer server has taken it. */
   supersedeAt(address: number, port: number): void {
-    this.expiredServers = undefined;
     this.departures.forEach(departure => {
       const {server} = departure;
       if (server.address === address && server.port === port) {
@@ -153,12 +166,43 @@
     return this.departures.get(id)?.isEnded === true;
   }
 
-  /** Returns the servers that may be alive although their entries expired. */
-  listExpired(): readonly CatalogServer[] {
-    this.expiredServers ??= [...this.departures.values()]
-      .filter(({isEnded, mayHaveExpired}) => mayHaveExpired && !isEnded)
+  /** Whether a departed server's entry may have expired in a store outage. */
+  mayHaveExpired(id: string): boolean {
+    return this.departures.get(id)?.mayHaveExpired === true;
+  }
+
+  /**
+   * Returns the servers that still get new flows since they may be alive although their
+   * entries expired; `now` is monotonic milliseconds.
+   */
+  listExpired(now: number): CatalogServer[] {
+    const isOutage = this.isOutage(now);
+    return [...this.departures.values()]
+      .filter(
+        ({isEnded, mayHaveExpired, openUntil}) =>
+          mayHaveExpired && !isEnded && (isOutage || now < openUntil),
+      )
       .map(({server}) => server);
-    return this.expiredServers;
+  }
+
+  /** Whether there has been no read for too long at a time. */
+  private isGap(at: number): boolean {
+    return at - this.confirmedAt > MAX_READ_INTERVAL_MS;
+  }
+
+  /** Whether the store has been unavailable since the latest read. */
+  private isOutage(at: number): boolean {
+    return this.isGap(at) && this.readFailedAt > this.confirmedAt;
+  }
+
+  /** Gives live servers time to register again. */
+  private endOutage(at: number): void {
+    this.outageEndedAt = at;
+    [...this.departures.values()]
+      .filter(({mayHaveExpired}) => mayHaveExpired)
+      .forEach(departure => {
+        departure.openUntil = at + REREGISTRATION_GRACE_MS;
+      });
   }
 
   private markEnded(departure: Departure): void {
--- a/src/catalog/known-servers.ts
+++ b/src/catalog/known-servers.ts
@@ -90,13 +90,13 @@
   }
 
   /**
-   * Returns the servers of a service that accept new flows, including those whose entries
-   * may have expired in a store outage.
+   * Returns the servers of a service that accept new flows at `now`, in monotonic
+   * milliseconds, including those whose entries may have expired in a store outage.
    */
-  openServers(service: string): readonly CatalogServer[] {
+  openServers(service: string, now: number): readonly CatalogServer[] {
     const listed = this.table.openServers(service);
     const expired = this.departedServers
-      .listExpired()
+      .listExpired(now)
       .filter(
         server => server.service === service && !this.table.isEvacuated(server),
       );
@@ -105,7 +105,7 @@
 
   /** Whether a departed server's entry may have expired in a store outage. */
   mayHaveExpired(id: string): boolean {
-    return this.departedServers.listExpired().some(server => server.id === id);
+    return this.departedServers.mayHaveExpired(id);
   }
 
   /** Returns the failure domains whose servers accept no new flows. */
@@ -191,6 +191,11 @@
       .forEach(server => this.storeRecord(server));
   }
 
+  /** Records that a daemon failed to read the list at a time. */
+  recordReadFailure(at: number): void {
+    this.departedServers.recordReadFailure(at);
+  }
+
   /** Records that the list was read at a time; drops cookies of servers long departed. */
   confirm(at: number): void {
     this.departedServers
--- a/src/catalog/server-restarts.spec.ts
+++ b/src/catalog/server-restarts.spec.ts
@@ -311,7 +311,7 @@
   catalog.applyServers(createListing(3, [restartedServer, next]), 1);
   assert.equal(catalog.hasEnded(restartedServer), false);
   assert.equal(catalog.hasEnded(next), false);
-  assert.deepEqual(idsOf(catalog.openServers('pay')), ['i-1']);
+  assert.deepEqual(idsOf(catalog.openServers('pay', 0)), ['i-1']);
   assert.equal(catalog.serverById('i-1')?.address, 8);
   // A third server at the former address supersedes only the second one.
   const third = createEntry('i-3', 4, {address: 7});
@@ -368,7 +368,7 @@
       1_000 + index * 500,
     ),
   );
-  assert.deepEqual(idsOf(catalog.openServers('pay')), ['i-2']);
+  assert.deepEqual(idsOf(catalog.openServers('pay', 0)), ['i-2']);
   assert.equal(catalog.findServerByCookie(cookie, route)?.id, 'i-1');
   assert.equal(catalog.hasEnded(server), false);
   assert.equal(changes.flatMap(({unreadable}) => unreadable).length, 1);
@@ -378,7 +378,7 @@
     createListing(3, [again, createEntry('i-2', 1)]),
     40_000,
   );
-  assert.deepEqual(idsOf(catalog.openServers('pay')), ['i-1', 'i-2']);
+  assert.deepEqual(idsOf(catalog.openServers('pay', 0)), ['i-1', 'i-2']);
   assert.equal(changes.flatMap(({restarted}) => restarted).length, 0);
 });
 
@@ -414,7 +414,7 @@
     started.findServerByCookie(cookie, same)?.address,
     server.address,
   );
-  assert.deepEqual(started.openServers('pay'), []);
+  assert.deepEqual(started.openServers('pay', 0), []);
   assert.equal(started.unreadableDigest, holder.unreadableDigest);
 });
 
@@ -444,7 +444,7 @@
   const corrupted = createEntry('i-1', 3, {address: 8, service: 'nobody'});
   catalog.applyServers(createListing(3, [corrupted, undeclared]), 2);
   assert.equal(catalog.findServerByCookie(cookie, route)?.address, 7);
-  assert.deepEqual(catalog.openServers('pay'), []);
+  assert.deepEqual(catalog.openServers('pay', 0), []);
   // Once a later version declares the service, its entries take effect.
   const services = ['pay', 'nobody'];
   catalog.applyRoutes({...ROUTES, version: 2, services}, 3);
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -255,6 +255,25 @@
   assert.equal(platform.callResults.outcomes.answered, 11);
 });
 
+test('a service whose entries all expire during a store outage goes on to get new flows', async () => {
+  for (const kind of [OutageKind.BUSY, OutageKind.SILENT]) {
+    const platform = await createPlatform();
+    platform.store.outages.set('', kind);
+    await callFor(platform, 3_000);
+    const expired = platform.listReadyServers('pay');
+    expired.forEach(({entry}) => platform.store.removeServer(entry.id));
+    await callFor(platform, 1_000);
+    platform.store.outages.clear();
+    await callFor(platform, 2_000);
+    expired.forEach(({entry}) => platform.store.putServer(entry));
+    await callFor(platform, 4_000);
+    await platform.clock.advance(3_000);
+    const {answered} = platform.callResults.outcomes;
+    assert.equal(answered, 500, JSON.stringify(platform.callResults.outcomes));
+    assert.deepEqual(platform.violations, []);
+  }
+});
+
 test('a flow whose server has certainly ended is reset, so that the caller reconnects', async () => {
   const platform = await createPlatform();
   const callers = Array.from({length: 12}, () =>
@@ -284,6 +303,33 @@
   assert.deepEqual(platform.violations, []);
 });
 
+/** Daemons that wait for events at the store, by their logs. */
+function listReaders(platform: SimulatedPlatform): string[] {
+  return [...platform.daemons.keys()].filter(
+    name =>
+      platform.logEntries
+        .filter(
+          ({process, event}) => process === name && event === 'reader-changed',
+        )
+        .pop()?.fields['waits'] === true,
+  );
+}
+
+// A gap between reads while the store was available counted as a store outage.
+test('a server that left while both readers were lost gets no new flows after the drain limit', async () => {
+  for (const delayMs of [0, 400, 800, 1_200, 1_600]) {
+    const platform = await createPlatform();
+    await callFor(platform, 2_000);
+    const readers = listReaders(platform);
+    assert.equal(readers.length, 2);
+    readers.forEach(name => platform.killDaemon(name));
+    await callFor(platform, delayMs);
+    platform.removeEntry(platform.listReadyServers('pay')[0]);
+    await callFor(platform, 10_000);
+    assert.deepEqual(platform.violations, [], `removed after ${delayMs} ms`);
+  }
+});
+
 test('new flows avoid servers that are unresponsive or refuse connections', async () => {
   const platform = await createPlatform();
   await callFor(platform, 1_000);
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -231,7 +231,7 @@
     return ServerFeedback.create({
       ...this.options,
       self: this.options.settings.address,
-      openServers: service => this.catalog.openServers(service),
+      openServers: (service, now) => this.catalog.openServers(service, now),
       listServers: () => this.catalog.allServers(),
       reportDueRequests: () => this.router.reportDueRequests(),
       onEvidence: () => this.gossip.relayEvidence(),
--- a/src/feedback/outlier-ratings.ts
+++ b/src/feedback/outlier-ratings.ts
@@ -22,7 +22,7 @@
   readonly halfLifeMs: number;
   readonly listener: EjectionListener;
   /** Returns the servers of a service that accept new flows. */
-  openServers(service: string): readonly CatalogServer[];
+  openServers(service: string, now: number): readonly CatalogServer[];
 }
 
 /** The rater of one service. */
@@ -75,7 +75,7 @@
     const rated = this.findService(service);
     if (now >= rated.nextEvaluationAt) {
       rated.nextEvaluationAt = now + EVALUATION_INTERVAL_MS;
-      rated.rater.evaluate(this.options.openServers(service), now);
+      rated.rater.evaluate(this.options.openServers(service, now), now);
     }
     return rated.rater;
   }
--- a/src/feedback/server-feedback.ts
+++ b/src/feedback/server-feedback.ts
@@ -45,7 +45,7 @@
   readonly counters: Counters;
   readonly log: Log;
   /** Returns the servers of a service that accept new flows. */
-  openServers(service: string): readonly CatalogServer[];
+  openServers(service: string, now: number): readonly CatalogServer[];
   /** Lists the servers in the catalog. */
   listServers(): readonly CatalogServer[];
   /** Reports requests that are answered or overdue to the observer. */
@@ -84,7 +84,7 @@
       pool: this.evidence,
       halfLifeMs: EVIDENCE_HALF_LIFE_MS,
       listener: EjectionReports.create(options),
-      openServers: service => options.openServers(service),
+      openServers: (service, now) => options.openServers(service, now),
     });
   }
 
--- a/src/routing/server-selector.ts
+++ b/src/routing/server-selector.ts
@@ -66,7 +66,10 @@
   ): CatalogServer | undefined {
     const {catalog, placement, random, ratings} = this.options;
     const service = this.selectService(route);
-    const eligible = this.filterByRegion(catalog.openServers(service), route);
+    const eligible = this.filterByRegion(
+      catalog.openServers(service, now),
+      route,
+    );
     const admitted = this.filterByColdRate(eligible, service, now);
     const isNeutral = ratings.isNeutral(service, now);
     const notEjected = isNeutral
--- a/standins/faulty-fleet.ts
+++ b/standins/faulty-fleet.ts
@@ -88,7 +88,7 @@
               pool,
               halfLifeMs: HALF_LIFE_MS,
               listener: plan.listener ?? IGNORED,
-              openServers: service => catalog.openServers(service),
+              openServers: (service, now) => catalog.openServers(service, now),
             })
         : () => UniformRatings.create(),
       onServerPacket: packet => recordFault(platform, pool, packet),
--- a/standins/simulated-platform.ts
+++ b/standins/simulated-platform.ts
@@ -304,6 +304,12 @@
     this.servers.drain(server, afterMs);
   }
 
+  /** Removes a server's store entry unannounced; the server serves on. */
+  removeEntry({entry}: CookieServer): void {
+    this.invariants.recordDrainStart(entry.id);
+    this.store.removeServer(entry.id);
+  }
+
   /** Crashes a server; its store entry expires `entryTtlMs` later. */
   crashServer(
     server: CookieServer,
