--- a/standins/invariant-checker.ts
+++ b/standins/invariant-checker.ts
@@ -28,7 +28,13 @@
 /** A violated invariant; `promise` names which one. */
 export interface InvariantViolation {
   readonly promise:
-    'route' | 'drain' | 'configuration' | 'evacuation' | 'flow' | 'reset';
+    | 'route'
+    | 'drain'
+    | 'configuration'
+    | 'evacuation'
+    | 'flow'
+    | 'reset'
+    | 'withdrawal';
   readonly atMs: number;
   readonly detail: string;
 }
@@ -95,6 +101,11 @@
     this.evacuationStartedAt.delete(failureDomain);
   }
 
+  /** Records that the router still uses a daemon that should have been withdrawn. */
+  recordLateWithdrawal(daemon: string): void {
+    this.reportViolation('withdrawal', `${daemon} is still in service`);
+  }
+
   /** Checks a packet that reached its target server. */
   checkArrival(packet: CookiePacket, server: CookieServer): void {
     const {entry} = server;
