Few servers missing after an outage get no new flows

Callers saw: when the store turned both readers away and served others, a server that left unannounced in those seconds got new flows for up to 5 s (bound 3 s); where many daemons were turned away while servers drained, openings went on to servers that had ended. Cause: the readers' failed reads and the gap until another daemon read made an outage, so each missing server counted as one whose entry had expired. Change: servers whose entries may have expired get new flows only while they outnumber the listed ones of their service. An outage in which leases run out takes nearly all; a leave takes few, and the others suffice for the 2 s in which the living register again. Ruled out: telling such a gap from an outage by who failed and who succeeded (the first success after an outage may be a daemon that has not tried before), or by its length (both take 2 to 4 s).

--- a/src/catalog/catalog.spec.ts
+++ b/src/catalog/catalog.spec.ts
@@ -62,22 +62,38 @@
 
 test('an expired server gets no new flows once a newer server takes its address', () => {
   const catalog = createCatalog();
-  const expired = createServer('i-1', 1, {address: 7});
-  const other = createServer('i-2', 2, {address: 8});
-  catalog.applyServers(
-    {revision: 2, servers: [expired, other], evacuated: []},
-    0,
+  const servers = [7, 8, 9].map((address, index) =>
+    createServer(`i-${index + 1}`, index + 1, {address}),
   );
-  // After a store outage the entry may have expired although its server is alive.
+  catalog.applyServers({revision: 3, servers, evacuated: []}, 0);
+  // After a store outage entries may have expired although their servers are alive.
   catalog.recordReadFailure(5_000);
-  catalog.applyServers({revision: 5, servers: [other], evacuated: []}, 10_000);
-  assert.deepEqual(openIds(catalog), ['i-1', 'i-2']);
-  const next = createServer('i-3', 6, {address: 7, service: 'docs'});
+  catalog.applyServers({revision: 5, servers: [], evacuated: []}, 10_000);
+  assert.deepEqual(openIds(catalog), ['i-1', 'i-2', 'i-3']);
+  const next = createServer('i-4', 6, {address: 7, service: 'docs'});
   catalog.applyEvents(
     {revision: 6, routes: undefined, written: [next], removed: [], domains: []},
     10_200,
   );
-  assert.deepEqual(openIds(catalog), ['i-2']);
+  assert.deepEqual(openIds(catalog), ['i-2', 'i-3']);
+});
+
+// Few servers missing after an outage were taken for alive although they may have left.
+test('servers missing after an outage get new flows only while they outnumber the listed ones', () => {
+  const catalog = createCatalog();
+  const servers = [1, 2, 3, 4].map(index => createServer(`i-${index}`, index));
+  catalog.applyServers({revision: 4, servers, evacuated: []}, 0);
+  catalog.recordReadFailure(5_000);
+  const [first, second] = servers;
+  const after = {revision: 5, servers: [first], evacuated: []};
+  catalog.applyServers(after, 10_000);
+  assert.deepEqual(openIds(catalog), ['i-1', 'i-2', 'i-3', 'i-4']);
+  const written = [{...second, revision: 6}];
+  catalog.applyEvents(
+    {revision: 6, routes: undefined, written, removed: [], domains: []},
+    10_100,
+  );
+  assert.deepEqual(openIds(catalog), ['i-1', 'i-2']);
 });
 
 const EVENTS = fc.array(
@@ -282,15 +298,14 @@
 
 test('an expired server of an evacuated domain gets no new flows', () => {
   const catalog = createCatalog();
-  const expired = createServer('i-1', 1, {failureDomain: 'b'});
-  const other = createServer('i-2', 2);
-  const servers = [expired, other];
-  catalog.applyServers({revision: 2, servers, evacuated: []}, 0);
-  // After a store outage the entry may have expired although its server is alive.
+  const inDomain = createServer('i-1', 1, {failureDomain: 'b'});
+  const servers = [inDomain, createServer('i-2', 2), createServer('i-3', 3)];
+  catalog.applyServers({revision: 3, servers, evacuated: []}, 0);
+  // After a store outage entries may have expired although their servers are alive.
   catalog.recordReadFailure(5_000);
-  const after = {revision: 5, servers: [other], evacuated: ['b']};
+  const after = {revision: 5, servers: [], evacuated: ['b']};
   catalog.applyServers(after, 10_000);
-  assert.deepEqual(openIds(catalog), ['i-2']);
+  assert.deepEqual(openIds(catalog), ['i-2', 'i-3']);
 });
 
 test('a pull after a few changes carries only those and yields the same list', () => {
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -172,7 +172,8 @@
 
   /**
    * Returns the servers of a service that accept new flows at `now`, in monotonic
-   * milliseconds, including those whose entries may have expired in a store outage.
+   * milliseconds, including those whose entries may have expired in a store outage while
+   * most of the service is missing.
    */
   openServers(service: string, now: number): readonly CatalogServer[] {
     return this.servers.openServers(service, now);
--- a/src/catalog/known-servers.ts
+++ b/src/catalog/known-servers.ts
@@ -91,7 +91,9 @@
 
   /**
    * Returns the servers of a service that accept new flows at `now`, in monotonic
-   * milliseconds, including those whose entries may have expired in a store outage.
+   * milliseconds. Those whose entries may have expired in a store outage are included
+   * while they outnumber the listed ones: while few are missing, they may as well have
+   * left, and the others suffice until those that are alive register again.
    */
   openServers(service: string, now: number): readonly CatalogServer[] {
     const listed = this.table.openServers(service);
@@ -100,7 +102,7 @@
       .filter(
         server => server.service === service && !this.table.isEvacuated(server),
       );
-    return expired.length === 0 ? listed : [...listed, ...expired];
+    return expired.length > listed.length ? [...listed, ...expired] : listed;
   }
 
   /** Whether a departed server's entry may have expired in a store outage. */
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -330,6 +330,21 @@
   }
 });
 
+// Failed reads of the readers counted as an outage although the store served other daemons.
+test('a server that left while the store turned both readers away gets no new flows after the drain limit', async () => {
+  for (const delayMs of [0, 400, 800, 1_200, 1_600]) {
+    const platform = await createPlatform();
+    await callFor(platform, 2_000);
+    listReaders(platform).forEach(name =>
+      platform.store.outages.set(name, OutageKind.SILENT),
+    );
+    await callFor(platform, delayMs);
+    platform.removeEntry(platform.listReadyServers('pay')[0]);
+    await callFor(platform, 10_000);
+    assert.deepEqual(platform.violations, [], `removed after ${delayMs} ms`);
+  }
+});
+
 test('new flows avoid servers that are unresponsive or refuse connections', async () => {
   const platform = await createPlatform();
   await callFor(platform, 1_000);
