Fuzz: no flow opens after the drain limit while daemons are lost or turned away

Why the two faults were missed: the mix of faults checks time bounds only for mixes without any loss of a daemon, and no fault removed the entry of a server that serves on. Change: a fault of its own for that, and a property that plays departures of servers while at most two daemons are lost for good or turned away by the store, with all checks on.

--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -424,3 +424,55 @@
     {seed: 11, numRuns: Number(process.env['WELDYARD_FUZZ_RUNS'] ?? 25)},
   );
 });
+
+/** Departures of servers while at most two daemons are lost or turned away by the store. */
+const DEPARTURES = fc
+  .tuple(
+    fc.array(
+      fc.record({
+        afterMs: fc.integer({min: 50, max: 1_200}),
+        kind: fc.constantFrom('drain', 'leave', 'leave', 'add', 'forget'),
+        which: fc.nat(7),
+        lastsMs: fc.constant(0),
+      }),
+      {minLength: 2, maxLength: 6},
+    ),
+    fc.array(
+      fc.record({
+        afterMs: fc.integer({min: 50, max: 600}),
+        kind: fc.constantFrom('lose', 'cut-store'),
+        which: fc.nat(4),
+        lastsMs: fc.constant(4_000),
+      }),
+      {minLength: 1, maxLength: 2},
+    ),
+    fc.nat(6),
+  )
+  .map(([departures, losses, at]) => [
+    ...departures.slice(0, at),
+    ...losses,
+    ...departures.slice(at),
+  ]);
+
+test('no flow opens at a server after the drain limit, whichever two daemons are lost or turned away while servers leave', async () => {
+  const hasher = await XxhashHasher.create();
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({min: 1, max: 1e6}),
+      DEPARTURES,
+      async (seed, faults) => {
+        const platform = await SimulatedPlatform.create(
+          {...PLAN, seed},
+          hasher,
+        );
+        for (const fault of faults) {
+          await callFor(platform, fault.afterMs, 50);
+          injectFault(platform, fault, [PAY, DOCS]);
+        }
+        await callFor(platform, 8_000, 50);
+        assert.deepEqual(platform.violations, []);
+      },
+    ),
+    {seed: 29, numRuns: 60},
+  );
+});
--- a/standins/platform-faults.ts
+++ b/standins/platform-faults.ts
@@ -35,6 +35,7 @@
       platform.killDaemon(name);
       runAfterDuration(() => void platform.startDaemon(name));
     },
+    lose: () => platform.killDaemon(name),
     stop: () =>
       void platform.stopDaemon(name).then(() => platform.startDaemon(name)),
     'cut-peers': () => {
@@ -62,6 +63,12 @@
         platform.startServer(server.entry.service);
       }
     },
+    leave: () => {
+      if (hasSpareServer) {
+        platform.removeEntry(server);
+        platform.startServer(server.entry.service);
+      }
+    },
     crash: () => {
       if (hasSpareServer) {
         platform.crashServer(server, fault.lastsMs % 2 === 0, 2_300);
