--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -179,10 +179,7 @@
     return this.servers.openServers(service, now);
   }
 
-  /**
-   * Whether a departed server's entry may have expired in a store outage, so that it still
-   * gets new flows.
-   */
+  /** Whether a departed server's entry may have expired in a store outage. */
   mayHaveExpired(id: string): boolean {
     return this.servers.mayHaveExpired(id);
   }
--- a/src/catalog/departed-servers.ts
+++ b/src/catalog/departed-servers.ts
@@ -29,11 +29,11 @@
   missingSince: number;
   /** Time without an entry after which the server counts as ended. */
   readonly graceMs: number;
-  /** Whether the entry may have expired in an outage; new flows are still sent to it. */
+  /** Whether the entry may have expired in an outage, and the server be alive. */
   readonly mayHaveExpired: boolean;
   /**
-   * When new flows to it end, unless another outage begins; -Infinity if it gets none.
-   * Monotonic milliseconds.
+   * Until when it may get new flows, unless another outage begins; monotonic milliseconds,
+   * -Infinity if it gets none.
    */
   openUntil: number;
   isEnded: boolean;
@@ -172,8 +172,8 @@
   }
 
   /**
-   * Returns the servers that still get new flows since they may be alive although their
-   * entries expired; `now` is monotonic milliseconds.
+   * Returns the servers that may be alive although their entries expired, and may get new
+   * flows; `now` is monotonic milliseconds.
    */
   listExpired(now: number): CatalogServer[] {
     const isOutage = this.isOutage(now);
--- a/src/entry/entry-daemon.spec.ts
+++ b/src/entry/entry-daemon.spec.ts
@@ -7,7 +7,10 @@
   SimulatedPlatform,
   type SimulationPlan,
 } from '../../standins/simulated-platform.js';
-import {injectFault} from '../../standins/platform-faults.js';
+import {
+  injectFault,
+  type PlatformFault,
+} from '../../standins/platform-faults.js';
 import {createRoute} from '../../standins/catalog-records.js';
 
 const BOUNDS = {drainMs: 3_000, configurationMs: 3_000, evacuationMs: 3_000};
@@ -315,35 +318,32 @@
   );
 }
 
-// A gap between reads while the store was available counted as a store outage.
-test('a server that left while both readers were lost gets no new flows after the drain limit', async () => {
+/** Removes a server's entry at several times after both readers were disturbed. */
+async function checkLeaveAfter(
+  disturb: (platform: SimulatedPlatform, reader: string) => void,
+): Promise<void> {
   for (const delayMs of [0, 400, 800, 1_200, 1_600]) {
     const platform = await createPlatform();
     await callFor(platform, 2_000);
     const readers = listReaders(platform);
     assert.equal(readers.length, 2);
-    readers.forEach(name => platform.killDaemon(name));
+    readers.forEach(reader => disturb(platform, reader));
     await callFor(platform, delayMs);
     platform.removeEntry(platform.listReadyServers('pay')[0]);
     await callFor(platform, 10_000);
     assert.deepEqual(platform.violations, [], `removed after ${delayMs} ms`);
   }
-});
+}
+
+// A gap between reads while the store was available counted as a store outage.
+test('a server that left while both readers were lost gets no new flows after the drain limit', () =>
+  checkLeaveAfter((platform, reader) => platform.killDaemon(reader)));
 
 // Failed reads of the readers counted as an outage although the store served other daemons.
-test('a server that left while the store turned both readers away gets no new flows after the drain limit', async () => {
-  for (const delayMs of [0, 400, 800, 1_200, 1_600]) {
-    const platform = await createPlatform();
-    await callFor(platform, 2_000);
-    listReaders(platform).forEach(name =>
-      platform.store.outages.set(name, OutageKind.SILENT),
-    );
-    await callFor(platform, delayMs);
-    platform.removeEntry(platform.listReadyServers('pay')[0]);
-    await callFor(platform, 10_000);
-    assert.deepEqual(platform.violations, [], `removed after ${delayMs} ms`);
-  }
-});
+test('a server that left while the store turned both readers away gets no new flows after the drain limit', () =>
+  checkLeaveAfter((platform, reader) =>
+    platform.store.outages.set(reader, OutageKind.SILENT),
+  ));
 
 test('new flows avoid servers that are unresponsive or refuse connections', async () => {
   const platform = await createPlatform();
@@ -362,6 +362,21 @@
   assert.deepEqual(platform.violations, []);
 });
 
+/** Plays faults under load, and then only the load for `settleMs`. */
+async function playFaults(
+  seed: number,
+  faults: readonly PlatformFault[],
+  settleMs: number,
+): Promise<SimulatedPlatform> {
+  const platform = await createPlatform({seed});
+  for (const fault of faults) {
+    await callFor(platform, fault.afterMs, 50);
+    injectFault(platform, fault, [PAY, DOCS]);
+  }
+  await callFor(platform, settleMs, 50);
+  return platform;
+}
+
 const FAULTS = fc.array(
   fc.record({
     afterMs: fc.integer({min: 50, max: 1_500}),
@@ -388,21 +403,12 @@
 );
 
 test('no guarantee is broken under any mix of faults', async () => {
-  const hasher = await XxhashHasher.create();
   await fc.assert(
     fc.asyncProperty(
       fc.integer({min: 1, max: 1e6}),
       FAULTS,
       async (seed, faults) => {
-        const platform = await SimulatedPlatform.create(
-          {...PLAN, seed},
-          hasher,
-        );
-        for (const fault of faults) {
-          await callFor(platform, fault.afterMs, 50);
-          injectFault(platform, fault, [PAY, DOCS]);
-        }
-        await callFor(platform, 5_000, 50);
+        const platform = await playFaults(seed, faults, 5_000);
         const flows = platform.violations.filter(
           ({promise}) => promise !== 'configuration' && promise !== 'drain',
         );
@@ -455,21 +461,12 @@
   ]);
 
 test('no flow opens at a server after the drain limit, whichever two daemons are lost or turned away while servers leave', async () => {
-  const hasher = await XxhashHasher.create();
   await fc.assert(
     fc.asyncProperty(
       fc.integer({min: 1, max: 1e6}),
       DEPARTURES,
       async (seed, faults) => {
-        const platform = await SimulatedPlatform.create(
-          {...PLAN, seed},
-          hasher,
-        );
-        for (const fault of faults) {
-          await callFor(platform, fault.afterMs, 50);
-          injectFault(platform, fault, [PAY, DOCS]);
-        }
-        await callFor(platform, 8_000, 50);
+        const platform = await playFaults(seed, faults, 8_000);
         assert.deepEqual(platform.violations, []);
       },
     ),
