--- a/src/catalog/catalog-gossip.ts
+++ b/src/catalog/catalog-gossip.ts
@@ -363,7 +363,7 @@
     const gainMs = Math.max(
       this.confirmCatalog(heartbeat, now),
       this.mergeReaderStatuses(sender, heartbeat, now),
-      this.mergeReachabilityFindings(heartbeat, now),
+      this.mergeReachabilityFindings(sender, heartbeat, now),
     );
     this.bootstrapFrom(heartbeat);
     void this.exchange.pullRecords(sender, heartbeat);
@@ -500,11 +500,23 @@
   }
 
   /** Merges findings on servers; returns Infinity if one is new, else 0. */
-  private mergeReachabilityFindings(heartbeat: Beat, now: number): number {
-    const {reach} = this.options;
+  private mergeReachabilityFindings(
+    sender: number,
+    heartbeat: Beat,
+    now: number,
+  ): number {
+    const {reach, log} = this.options;
     const changes = heartbeat.reachNews.filter(({ageMs, ...finding}) =>
       reach.mergeFinding({...finding, at: now - ageMs}),
     );
+    changes.forEach(({server, reached, ageMs}) =>
+      log.info('server-finding', {
+        server,
+        reached,
+        ageMs,
+        peer: formatIpv4(sender),
+      }),
+    );
     return changes.length > 0 ? Infinity : 0;
   }
 
