Gossip: ages count the time that a message was under way

Cause: ages in messages were counted back from the moment of handling, so time in the receive buffer did not count. A daemon that resumed took findings of 5 s ago for new and gossiped them; all others reset flows on them. Since buffered heartbeats are handled at one instant, the later 'reached' fell within the tolerance of 150 ms and was dropped.

Ruled out: probes of its own (they reached the servers), findings that it held before (too old to be gossiped).

Change: messages state when they were sent on the sender's monotonic clock. The receiver keeps the least difference to each sender's clock (PeerClocks) and adds what a heartbeat exceeds it by to all ages, in one place (ageHeartbeat); answers to pulls are dated by the same clocks. So findings keep their order and age, and reader leases, confirmations, read failures, signs of life, evidence and load reports are dated alike. A peer whose clock is unknown is taken to be delayed like the heartbeat handled just before. Requests for probes and votes are void after 400 ms. Weighed: a process that notices its own pause and drops what waited sees neither a slow process nor a slow link, and loses the order.

The literal in catalog.spec.ts gains the new field.

--- a/src/adapters/network-fleet-channel.spec.ts
+++ b/src/adapters/network-fleet-channel.spec.ts
@@ -30,6 +30,7 @@
   unreadableDigest: 0,
   evidence: [],
   build: '',
+  sent: undefined,
 };
 
 function createFleet(address: number) {
@@ -65,6 +66,7 @@
       servers: undefined,
       other: 0,
       waitMs: 0,
+      sent: undefined,
     }),
   };
   await first.fleet.serve({
@@ -80,6 +82,7 @@
       servers: undefined,
       other: asker,
       waitMs: 5,
+      sent: undefined,
     }),
   });
   await first.fleet.servePulls();
--- a/src/catalog/catalog-exchange.ts
+++ b/src/catalog/catalog-exchange.ts
@@ -3,6 +3,7 @@
  * it lacks; one that serves many pulls refers further ones to daemons that it served.
  */
 import type {Beat, CatalogUpdate} from '../generated/catalog.js';
+import type {PeerClocks} from '../membership/peer-clocks.js';
 import type {Clock} from '../ports/clock.js';
 import type {FleetChannel, HeldVersions} from '../ports/fleet-channel.js';
 import type {Log} from '../ports/log.js';
@@ -34,6 +35,7 @@
   /** Bandwidth of the instance's link, in megabits per second. */
   readonly linkMbps: number;
   readonly catalog: Catalog;
+  readonly peerClocks: PeerClocks;
   readonly channel: FleetChannel;
   readonly clock: Clock;
   readonly log: Log;
@@ -74,17 +76,18 @@
 
   /** Answers a pull with what the asker lacks, or refers it to another daemon. */
   answerPull(held: HeldVersions): CatalogUpdate {
-    const {catalog, clock} = this.options;
+    const {catalog, clock, peerClocks} = this.options;
     const now = clock.now();
     const update = createUpdate(catalog, held, now);
+    const sent = peerClocks.stamp();
     const size = {
       routes: update.routes?.routes.length ?? 0,
       servers: update.servers?.servers.length ?? 0,
     };
     const referral = this.limiter.admitOrRefer(held.asker, size, now);
     return referral === undefined
-      ? update
-      : {routes: undefined, servers: undefined, ...referral};
+      ? {...update, sent}
+      : {routes: undefined, servers: undefined, ...referral, sent};
   }
 
   /** Whether the sender of a heartbeat holds newer routes or servers. */
@@ -157,12 +160,16 @@
     const {catalog, clock} = this.options;
     const before = catalog.unreadableDigest;
     const held = {...this.heldVersions(true), serverDigest: 0};
-    const deadline = clock.now() + PULL_TIMEOUT_MS;
-    const update = await this.options.channel.pull(sender, held, deadline);
+    const requestedAt = clock.now();
+    const update = await this.options.channel.pull(
+      sender,
+      held,
+      requestedAt + PULL_TIMEOUT_MS,
+    );
     if (update.isErr() || update.value.other !== 0) {
       return;
     }
-    this.apply(update.value);
+    this.apply(sender, update.value, requestedAt);
     if (catalog.unreadableDigest === before) {
       this.lastFutileRecordPull = [before, offered];
     }
@@ -213,11 +220,11 @@
     referralsLeft: number,
   ): Promise<boolean> {
     const {channel, clock, log} = this.options;
-    const deadline = clock.now() + PULL_TIMEOUT_MS;
+    const requestedAt = clock.now();
     const update = await channel.pull(
       holder,
       this.heldVersions(pullsAll),
-      deadline,
+      requestedAt + PULL_TIMEOUT_MS,
     );
     if (update.isErr()) {
       const cause = update.error.message;
@@ -226,7 +233,7 @@
     }
     const {other, waitMs} = update.value;
     if (other === 0) {
-      this.apply(update.value);
+      this.apply(holder, update.value, requestedAt);
       const {servers} = update.value;
       const {serverRevision} = this.options.catalog.stamp;
       return (
@@ -259,9 +266,15 @@
     };
   }
 
-  private apply(update: CatalogUpdate): void {
-    const {catalog, clock} = this.options;
-    applyUpdate(catalog, update, clock.now());
+  /** Applies an update that a peer sent after `requestedAt`, monotonic milliseconds. */
+  private apply(
+    peer: number,
+    update: CatalogUpdate,
+    requestedAt: number,
+  ): void {
+    const {catalog, clock, peerClocks} = this.options;
+    const delayMs = peerClocks.measureAnswer(peer, update.sent, requestedAt);
+    applyUpdate(catalog, update, clock.now() - delayMs);
     this.options.onApplied();
   }
 }
--- a/src/catalog/catalog-gossip.ts
+++ b/src/catalog/catalog-gossip.ts
@@ -13,6 +13,7 @@
   type ServerWork,
 } from '../generated/catalog.js';
 import type {PeerDaemon} from '../membership/peer-daemon.js';
+import type {PeerClocks} from '../membership/peer-clocks.js';
 import type {PeerView} from '../membership/peer-view.js';
 import type {Clock, Timer} from '../ports/clock.js';
 import type {FleetChannel} from '../ports/fleet-channel.js';
@@ -29,6 +30,7 @@
 } from './catalog-messages.js';
 import type {Catalog} from './catalog.js';
 import {CatalogExchange} from './catalog-exchange.js';
+import {ageHeartbeat} from './heartbeat-ages.js';
 import type {ReaderElection} from './reader-election.js';
 import {UnknownContent} from './unknown-content.js';
 import {BootstrappingPeers} from './bootstrapping-peers.js';
@@ -58,11 +60,20 @@
 const MIN_RELAY_INTERVAL_MS = 25;
 /** Time from a heartbeat to the next one that relays evidence against servers. */
 const EVIDENCE_RELAY_INTERVAL_MS = 250;
+/**
+ * Delay of a heartbeat from which its requests for probes and their results are void: the
+ * daemon that asked no longer waits for them.
+ */
+const MAX_CHECK_DELAY_MS = 400;
+/** Delay of a heartbeat from which it is logged, and time between two such lines. */
+const LOGGED_DELAY_MS = 500;
+const DELAY_LOG_INTERVAL_MS = 1_000;
 
 /** Dependencies and callbacks of `CatalogGossip`. */
 export interface CatalogGossipOptions {
   readonly catalog: Catalog;
   readonly peers: PeerView;
+  readonly peerClocks: PeerClocks;
   readonly election: ReaderElection;
   readonly reach: ServerReachability;
   /** Evidence against servers; undefined: none is sent or taken in. */
@@ -88,8 +99,8 @@
   snapshotExpectedUntil(): number;
   /** Called when a peer becomes a reader of the source, tries to, or ceases to be one. */
   onElectionChange(): void;
-  /** Called with the server load that a peer reports. */
-  onLoadReport(sender: number, work: readonly ServerWork[]): void;
+  /** Called with the server load that a peer reported at a time. */
+  onLoadReport(sender: number, work: readonly ServerWork[], at: number): void;
   /** Called with the build that a peer names; empty: none. */
   onPeerBuild(sender: number, build: string): void;
 }
@@ -113,6 +124,8 @@
   private bootstrapNoticeTimer: Timer | undefined;
   private hasAnnouncedCopy = false;
   private readonly unknownContent: UnknownContent;
+  /** Earliest time of the next line on a delayed heartbeat; monotonic milliseconds. */
+  private nextDelayLogAt = -Infinity;
   private readonly startedAt: number;
 
   private constructor(private readonly options: CatalogGossipOptions) {
@@ -346,19 +359,25 @@
       unreadableDigest: catalog.unreadableDigest,
       evidence: [],
       build: this.options.build,
+      sent: this.options.peerClocks.stamp(),
     };
   }
 
-  private handleHeartbeat(sender: number, heartbeat: Beat): void {
-    const {clock, peers} = this.options;
+  private handleHeartbeat(sender: number, received: Beat): void {
+    const {clock, peers, peerClocks} = this.options;
     const now = clock.now();
+    const delayMs = peerClocks.measureHeartbeat(sender, received.sent);
+    const heartbeat = ageHeartbeat(received, delayMs);
+    this.logDelay(sender, delayMs, now);
     if (heartbeat.sender !== undefined) {
       this.recordSender(sender, heartbeat.sender, heartbeat.hello, now);
     }
     heartbeat.peers.forEach(entry => peers.merge(entry, now));
-    this.options.onLoadReport(sender, heartbeat.work);
+    this.options.onLoadReport(sender, heartbeat.work, now - delayMs);
     this.options.onPeerBuild(sender, heartbeat.build);
-    this.handleReachabilityChecks(sender, heartbeat);
+    if (delayMs <= MAX_CHECK_DELAY_MS) {
+      this.handleReachabilityChecks(sender, heartbeat);
+    }
     this.mergeEvidence(heartbeat, now);
     const gainMs = Math.max(
       this.confirmCatalog(heartbeat, now),
@@ -374,23 +393,32 @@
     }
   }
 
+  /** Logs a heartbeat that was handled late, which mostly means a pause of this process. */
+  private logDelay(sender: number, delayMs: number, now: number): void {
+    if (delayMs >= LOGGED_DELAY_MS && now >= this.nextDelayLogAt) {
+      this.nextDelayLogAt = now + DELAY_LOG_INTERVAL_MS;
+      this.options.log.info('heartbeat-delayed', {
+        peer: formatIpv4(sender),
+        delayMs: Math.round(delayMs),
+      });
+    }
+  }
+
   private recordSender(
     sender: number,
     entry: PeerAge,
     hello: boolean,
     now: number,
   ): void {
-    const isNew = this.options.peers.merge(
-      {...entry, address: sender, ageMs: 0},
-      now,
-    );
+    const isNew = this.options.peers.merge({...entry, address: sender}, now);
     if (isNew) {
       this.options.log.info('peer-found', {
         peer: formatIpv4(sender),
         failureDomain: entry.failureDomain,
       });
     }
-    this.bootstrappingPeers.record(sender, entry.hasCopy, now);
+    const reportedAt = now - entry.ageMs;
+    this.bootstrappingPeers.record(sender, entry.hasCopy, reportedAt);
     if (isNew || hello) {
       this.reply(sender, entry.hasCopy);
     }
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -91,20 +91,21 @@
       : undefined,
     other: 0,
     waitMs: 0,
+    sent: undefined,
   };
 }
 
-/** Applies an update from a peer; the ages in it are relative to `now`. */
+/** Applies an update that a peer sent at a time, which the ages in it refer to. */
 export function applyUpdate(
   catalog: Catalog,
   update: CatalogUpdate,
-  now: number,
+  sentAt: number,
 ): void {
   if (update.routes !== undefined) {
-    applyRouteList(catalog, update.routes, now);
+    applyRouteList(catalog, update.routes, sentAt);
   }
   if (update.servers !== undefined) {
-    applyServerList(catalog, update.servers, now);
+    applyServerList(catalog, update.servers, sentAt);
   }
 }
 
--- a/src/catalog/catalog.spec.ts
+++ b/src/catalog/catalog.spec.ts
@@ -201,6 +201,7 @@
     servers: undefined,
     other: 0,
     waitMs: 0,
+    sent: undefined,
   });
 });
 
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -15,6 +15,7 @@
 } from '../feedback/server-ratings.js';
 import type {PeerAge} from '../generated/catalog.js';
 import {PeerBuilds} from '../membership/peer-builds.js';
+import {PeerClocks} from '../membership/peer-clocks.js';
 import {PeerView} from '../membership/peer-view.js';
 import type {CatalogSource} from '../ports/catalog-source.js';
 import type {Clock} from '../ports/clock.js';
@@ -337,6 +338,7 @@
     return CatalogGossip.create({
       catalog: this.catalog,
       peers: this.peers,
+      peerClocks: PeerClocks.create(clock),
       election: this.election,
       reach: this.reachability,
       evidence: this.feedback,
@@ -355,8 +357,8 @@
         ),
       snapshotExpectedUntil: () => this.reader.snapshotExpectedUntil,
       onElectionChange: () => this.reader.reschedule(),
-      onLoadReport: (sender, work) =>
-        this.serverLoad.applyPeerLoad(sender, work, clock.now()),
+      onLoadReport: (sender, work, at) =>
+        this.serverLoad.applyPeerLoad(sender, work, at),
       onPeerBuild: (sender, named) => {
         if (feedback) {
           this.peerBuilds.record(sender, named, clock.now());
--- a/standins/memory-channel.ts
+++ b/standins/memory-channel.ts
@@ -28,6 +28,8 @@
   /** Links of the daemons, named by their addresses in decimal. */
   readonly links = MemoryLinks.create();
   private readonly handlers = new Map<number, FleetHandlers>();
+  /** Heartbeats that wait for a paused daemon, by its address. */
+  private readonly heldHeartbeats = new Map<number, Array<() => void>>();
 
   private constructor(
     readonly clock: Clock,
@@ -47,11 +49,37 @@
   /** Disconnects a daemon. */
   detach(address: number): void {
     this.handlers.delete(address);
+    this.heldHeartbeats.delete(address);
+  }
+
+  /** Buffers the heartbeats to a daemon, which answers no pulls from now on. */
+  pause(address: number): void {
+    this.heldHeartbeats.set(address, []);
+  }
+
+  /** Delivers the buffered heartbeats and ends the pause. */
+  resume(address: number): void {
+    const held = this.heldHeartbeats.get(address) ?? [];
+    this.heldHeartbeats.delete(address);
+    held.forEach(deliver => deliver());
+  }
+
+  /** Delivers a heartbeat now, or after the pause of its receiver. */
+  deliverHeartbeat(from: number, to: number, bytes: Uint8Array): void {
+    const deliver = () =>
+      this.handlers.get(to)?.onHeartbeat(from, Beat.decode(bytes));
+    const held = this.heldHeartbeats.get(to);
+    if (held === undefined) {
+      deliver();
+    } else {
+      held.push(deliver);
+    }
   }
 
   /** Returns the handlers at `to` for a call from `from`; undefined: unreachable. */
   findReachablePeer(from: number, to: number): FleetHandlers | undefined {
     const open =
+      !this.heldHeartbeats.has(to) &&
       !this.blockedPaths.has(`${from}>${to}`) &&
       !this.blockedPaths.has(`${to}>${from}`);
     return open ? this.handlers.get(to) : undefined;
@@ -103,11 +131,9 @@
     if (!network.isDelivered(this.address, address)) {
       return;
     }
-    network.clock.callAt(network.clock.now() + ONE_WAY_LATENCY_MS, () => {
-      network
-        .findHandlers(address)
-        ?.onHeartbeat(this.address, Beat.decode(bytes));
-    });
+    network.clock.callAt(network.clock.now() + ONE_WAY_LATENCY_MS, () =>
+      network.deliverHeartbeat(this.address, address, bytes),
+    );
   }
 
   pull(
--- a/standins/simulated-fabric.ts
+++ b/standins/simulated-fabric.ts
@@ -23,6 +23,8 @@
 export class SimulatedFabric extends CookieFabric {
   private handle: ((packet: CookiePacket) => void) | undefined;
   private isClosed = false;
+  /** Packets that wait for a paused daemon; undefined while it runs. */
+  private heldPackets: CookiePacket[] | undefined;
 
   private constructor(
     private readonly delivery: PacketDelivery,
@@ -42,11 +44,28 @@
 
   /** Delivers a packet to the daemon; drops it when no handler is installed. */
   deliver(packet: CookiePacket): void {
-    if (!this.isClosed) {
+    if (this.isClosed) {
+      return;
+    }
+    if (this.heldPackets === undefined) {
       this.handle?.(packet);
+    } else {
+      this.heldPackets.push(packet);
     }
   }
 
+  /** Buffers the packets to the daemon from now on. */
+  pause(): void {
+    this.heldPackets = [];
+  }
+
+  /** Delivers the buffered packets and ends the pause. */
+  resume(): void {
+    const held = this.heldPackets ?? [];
+    this.heldPackets = undefined;
+    held.forEach(packet => this.deliver(packet));
+  }
+
   forward(packet: CookiePacket, server: CatalogServer, cookie: number): void {
     if (!this.isClosed) {
       this.delivery.deliverToServer(packet, server, cookie, this.daemon);
--- a/standins/simulated-platform.ts
+++ b/standins/simulated-platform.ts
@@ -111,6 +111,7 @@
   running: EntryDaemon | undefined;
   clock: ProcessClock;
   fabric: SimulatedFabric;
+  isPaused: boolean;
 }
 
 /** Counts of finished calls by outcome, and durations of the answered ones. */
@@ -329,6 +330,7 @@
     const daemon = this.getDaemon(name);
     daemon.clock = ProcessClock.create(this.clock);
     daemon.fabric = SimulatedFabric.create(this, name);
+    daemon.isPaused = false;
     const {clock, fabric} = daemon;
     const settings = {...daemon.settings, isFirstStart};
     const {address} = settings;
@@ -366,6 +368,24 @@
     this.network.detach(daemon.settings.address);
   }
 
+  /** Pauses a daemon's process: its timers are held, and what it receives is buffered. */
+  pauseDaemon(name: string): void {
+    const daemon = this.getDaemon(name);
+    daemon.isPaused = true;
+    daemon.clock.freeze();
+    daemon.fabric.pause();
+    this.network.pause(daemon.settings.address);
+  }
+
+  /** Resumes a paused daemon, which runs its timers first. */
+  resumeDaemon(name: string): void {
+    const daemon = this.getDaemon(name);
+    daemon.isPaused = false;
+    daemon.clock.thaw();
+    this.network.resume(daemon.settings.address);
+    daemon.fabric.resume();
+  }
+
   /** Stops a daemon gracefully; resolves when it has terminated. */
   async stopDaemon(name: string): Promise<void> {
     const daemon = this.getDaemon(name);
@@ -490,6 +510,7 @@
       running: undefined,
       clock: ProcessClock.create(this.clock),
       fabric: SimulatedFabric.create(this, name),
+      isPaused: false,
       consecutiveFailures: 0,
       isInService: false,
     });
@@ -503,7 +524,7 @@
   /** Checks the readiness of all daemons for the router, and schedules the next check. */
   private pollReadiness(): void {
     this.daemons.forEach(daemon => {
-      const ready = daemon.running?.isReady() === true;
+      const ready = !daemon.isPaused && daemon.running?.isReady() === true;
       recordReadinessCheck(daemon, ready);
     });
     this.clock.callAt(this.clock.now() + READINESS_INTERVAL_MS, () =>
