Reachability: a finding is void where the server has answered callers since

Cause: isUnreachable looked at the finding alone; the time of the last answer to a caller here was at hand and used for own probes only.

Change: a finding counts only if the server has answered no caller here since, for resets, for selection, and when its entry leaves the list.

--- a/src/reachability/server-reachability.spec.ts
+++ b/src/reachability/server-reachability.spec.ts
@@ -1,4 +1,4 @@
-/** Which peers a daemon has probe a server that left a packet unanswered. */
+/** Polls on servers that left a packet unanswered, and what findings of peers lead to. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createServer} from '../../standins/catalog-records.js';
@@ -34,6 +34,8 @@
       ),
     );
   const helpers: Array<readonly number[]> = [];
+  const unreachable: string[] = [];
+  const answers = {lastAt: -Infinity};
   const reachability = ServerReachability.create({
     self: 1,
     failureDomain: 'a',
@@ -45,13 +47,13 @@
     serverById: id => (id === SERVER.id ? SERVER : undefined),
     isListed: () => true,
     countServers: () => 10,
-    lastAnsweredAt: () => -Infinity,
+    lastAnsweredAt: () => answers.lastAt,
     requestProbes: daemons => helpers.push(daemons),
     sendVote: () => undefined,
     announce: () => undefined,
-    onUnreachable: () => undefined,
+    onUnreachable: ({id}) => unreachable.push(id),
   });
-  return {clock, helpers, reachability, hearPeers};
+  return {clock, helpers, reachability, hearPeers, unreachable, answers};
 }
 
 test('polls on a server have other peers probe it by turns, one of its domain and one of another', async () => {
@@ -73,3 +75,19 @@
   );
   assert.ok(first > 2 && second > 2, `${first} and ${second} of six peers`);
 });
+
+// Guards against flows being reset on a peer's finding although the server has answered
+// callers of this daemon since.
+test('a finding of peers is void for a daemon whose callers the server has answered since', async () => {
+  const {clock, reachability, unreachable, answers} = createDaemon();
+  const foundAt = clock.now();
+  await clock.advance(200);
+  answers.lastAt = foundAt + 100;
+  const finding = {server: SERVER.id, reached: false, startTime: 0};
+  reachability.mergeFinding({...finding, at: foundAt});
+  assert.equal(reachability.isUnreachable(SERVER.id), false);
+  assert.deepEqual(unreachable, []);
+  reachability.mergeFinding({...finding, at: clock.now()});
+  assert.equal(reachability.isUnreachable(SERVER.id), true);
+  assert.deepEqual(unreachable, [SERVER.id]);
+});
--- a/src/reachability/server-reachability.ts
+++ b/src/reachability/server-reachability.ts
@@ -103,13 +103,17 @@
     }
   }
 
-  /** Whether a server is unreachable and its service's findings aren't ignored. */
+  /**
+   * Whether a server is unreachable, has answered no caller here since it was found so, and
+   * its service's findings aren't ignored.
+   */
   isUnreachable(id: string): boolean {
     const now = this.options.clock.now();
     const service = this.options.serverById(id)?.service;
     return (
       service !== undefined &&
       this.findings.isUnreachable(id, now) &&
+      !this.hasAnsweredSinceFinding(id) &&
       !this.areFindingsIgnored(service, now)
     );
   }
@@ -158,7 +162,9 @@
     if (server !== undefined && server.startTime !== finding.startTime) {
       return false;
     }
-    const wasKnown = this.findings.isUnreachable(finding.server, now);
+    const wasKnown =
+      this.findings.isUnreachable(finding.server, now) &&
+      !this.hasAnsweredSinceFinding(finding.server);
     const isNew = this.findings.merge(finding, now);
     const isUnreachableNow =
       !wasKnown && server !== undefined && this.isUnreachable(server.id);
@@ -178,7 +184,15 @@
     const now = this.options.clock.now();
     changed.forEach(({id}) => this.findings.onListed(id));
     restarted.forEach(({id}) => this.onRestarted(id));
-    departed.forEach(({id}) => this.findings.onDeparted(id, now));
+    departed
+      .filter(({id}) => !this.hasAnsweredSinceFinding(id))
+      .forEach(({id}) => this.findings.onDeparted(id, now));
+  }
+
+  /** Whether a server answered a caller here after the newest finding on it. */
+  private hasAnsweredSinceFinding(id: string): boolean {
+    const foundAt = this.findings.findTime(id) ?? Infinity;
+    return this.options.lastAnsweredAt(id) > foundAt;
   }
 
   /** Drops the findings and the open poll on the former incarnation. */
--- a/src/reachability/unreachable-servers.ts
+++ b/src/reachability/unreachable-servers.ts
@@ -73,6 +73,11 @@
     return isValid || (this.endedUntil.get(server) ?? -Infinity) > now;
   }
 
+  /** Time of the newest finding on a server, in monotonic milliseconds; undefined: none. */
+  findTime(server: string): number | undefined {
+    return this.findings.get(server)?.at;
+  }
+
   /** Ids of the servers for which `isUnreachable` holds. */
   list(now: number): string[] {
     const known = new Set([...this.findings.keys(), ...this.endedUntil.keys()]);
