Reader election: failed attempts of others do not put off a takeover

Cause: noticing (up to 2.05 s) plus a number of candidates in series, each of which suppressed the others for 0.3 s and restarted the window when it failed. Nothing held the sum against the limit.

Ruled out: the catalog's own timeout (3.5 s and more, by design later than the limit).

Change: after the first sign of trouble (a daemon ceased, or the last lease ended) each daemon attempts once, 150 ms and its position in the window later, unless somebody has read since. Positions are logarithms of hashes, so attempts double from step to step. In a fleet larger than a view only positions up to 0.65 do. The second reader's wait ends midway between two reads of the first.

Why it works: sign of trouble within 1.25 s (half of a wait and its margin), attempt within 0.8 s, gossip 0.3 s.

--- a/src/catalog/catalog-reader.ts
+++ b/src/catalog/catalog-reader.ts
@@ -25,6 +25,8 @@
  */
 const EVENT_WAIT_FRACTION = 1 / 2;
 const MAX_EVENT_WAIT_MS = 1_500;
+/** How much earlier than midway a wait of the second reader may end, as a share. */
+const MAX_PHASE_ERROR = 1 / 4;
 /**
  * Age at which an unconfirmed catalog is read from the source although there are
  * readers, unless the propagation limit is longer. Up to half of it is added as jitter.
@@ -258,10 +260,31 @@
       return inForceLimitMs * ISOLATED_WAIT_FRACTION;
     }
     return election.isReader(now)
-      ? Math.min(MAX_EVENT_WAIT_MS, inForceLimitMs * EVENT_WAIT_FRACTION)
+      ? this.readerWaitMs(
+          now,
+          Math.min(MAX_EVENT_WAIT_MS, inForceLimitMs * EVENT_WAIT_FRACTION),
+        )
       : 0;
   }
 
+  /**
+   * Returns the length of a reader's wait. The second reader shortens a wait that would not
+   * end about midway between two reads of the first one, so that a store which stops
+   * answering both is noticed after half of a wait.
+   */
+  private readerWaitMs(now: number, fullWaitMs: number): number {
+    const firstReadAt = this.options.election.firstReaderReadAt(now);
+    if (firstReadAt === undefined) {
+      return fullWaitMs;
+    }
+    const periodMs = fullWaitMs + EVENT_BATCH_MS;
+    const phaseMs = (now + fullWaitMs - firstReadAt) % periodMs;
+    const lateMs = phaseMs - periodMs / 2;
+    const isEarly = lateMs < -periodMs * MAX_PHASE_ERROR;
+    const excessMs = isEarly ? lateMs + periodMs : Math.max(0, lateMs);
+    return fullWaitMs - Math.min(excessMs, fullWaitMs);
+  }
+
   private async readOnce(): Promise<SourceFailure | undefined> {
     const {catalog, clock} = this.options;
     const sentAt = clock.now();
--- a/src/catalog/reader-election.ts
+++ b/src/catalog/reader-election.ts
@@ -33,6 +33,18 @@
 /** How long a daemon is no candidate after a failed read. */
 const FAILURE_BACKOFF_MS = 4_000;
 
+/**
+ * Delay from the first sign of trouble to the first takeover that no other attempt puts
+ * off: time for one candidate to announce that it has read.
+ */
+const TAKEOVER_DELAY_MS = 150;
+
+/**
+ * Position up to which daemons of a fleet of unknown size take over regardless of other
+ * attempts: a twenty-fifth of them, so that a store that is away sees few calls.
+ */
+const MAX_TAKEOVER_POSITION = 0.65;
+
 /** Added to the position of a candidate in the failure domain of the only reader. */
 const SAME_DOMAIN_PENALTY = 1;
 
@@ -47,6 +59,8 @@
   readonly hasher: Hasher;
   /** Propagation limit: time by which all daemons must use a published version. */
   readonly inForceLimitMs: number;
+  /** Returns whether the daemon knows all its peers: the fleet is small. */
+  isFleetKnown(): boolean;
 }
 
 /** One daemon's view of the election and its part in it. */
@@ -63,6 +77,12 @@
   private missingReaderSince: number | undefined;
   /** Monotonic milliseconds before which this daemon is no candidate. */
   private backoffUntil = -Infinity;
+  /** When any daemon last read; monotonic milliseconds. */
+  private lastReadAt = -Infinity;
+  /** When a daemon first ceased to read after that; undefined: none has. */
+  private firstCeasedAt: number | undefined;
+  /** When this daemon last began a read; monotonic milliseconds. */
+  private lastOwnAttemptAt = -Infinity;
 
   private constructor(private readonly options: ReaderElectionOptions) {
     const {self, hasher, inForceLimitMs} = options;
@@ -89,6 +109,7 @@
 
   /** Records that this daemon, which is no reader yet, has begun a read. */
   recordAttempt(now: number): void {
+    this.lastOwnAttemptAt = now;
     this.recordOwnStatus(ReadState.READ_TRYING, now);
   }
 
@@ -121,6 +142,16 @@
     return this.rankAt(now) === 0;
   }
 
+  /**
+   * Returns when the first reader last read, if this daemon is the second one; monotonic
+   * milliseconds.
+   */
+  firstReaderReadAt(now: number): number | undefined {
+    return this.rankAt(now) === 1
+      ? this.statuses.readers(now).at(0)?.at
+      : undefined;
+  }
+
   /** Returns how many daemons are known to read, this one included. */
   countReaders(now: number): number {
     return this.statuses.readers(now).length;
@@ -144,7 +175,28 @@
     const isSameDomain = readers[0]?.failureDomain === failureDomain;
     const position = this.position + (isSameDomain ? SAME_DOMAIN_PENALTY : 0);
     const from = Math.max(this.missingReaderSince, this.suppressedUntil(now));
-    return Math.max(from + position * this.electionWindowMs, this.backoffUntil);
+    const turnAt = from + position * this.electionWindowMs;
+    return Math.max(Math.min(turnAt, this.takeoverAt()), this.backoffUntil);
+  }
+
+  /**
+   * Returns when this daemon reads although others attempt to; Infinity: not before its
+   * turn. Attempts that fail one after the other would take longer than the propagation
+   * limit, so each daemon makes one on its own if none has read since the first sign of
+   * trouble: a daemon that ceased to read, or no read for the length of a lease.
+   */
+  private takeoverAt(): number {
+    const wasRead = this.lastReadAt > -Infinity;
+    const hasTried = this.lastOwnAttemptAt > this.lastReadAt;
+    const isEligible =
+      this.options.isFleetKnown() || this.position <= MAX_TAKEOVER_POSITION;
+    if (!wasRead || hasTried || !isEligible) {
+      return Infinity;
+    }
+    const expiresAt = this.lastReadAt + this.leaseMs;
+    const troubleAt = Math.min(expiresAt, this.firstCeasedAt ?? Infinity);
+    const delayMs = TAKEOVER_DELAY_MS + this.position * this.electionWindowMs;
+    return troubleAt + delayMs;
   }
 
   /**
@@ -187,8 +239,20 @@
     this.merge({...this.options.self, state, at}, at);
   }
 
+  /** Records when the source was last read, and when a daemon ceased to read since. */
+  private recordProgress({state, at}: ReaderStatus): void {
+    if (state === ReadState.READ_DONE && at > this.lastReadAt) {
+      this.lastReadAt = at;
+      this.firstCeasedAt = undefined;
+    }
+    if (state === ReadState.READ_CEASED && at > this.lastReadAt) {
+      this.firstCeasedAt = Math.min(this.firstCeasedAt ?? Infinity, at);
+    }
+  }
+
   /** Merges a status; an additional reader restarts the election window. */
   private merge(status: ReaderStatus, now: number): number {
+    this.recordProgress(status);
     const before = this.statuses.readers(now).length;
     const gain = this.statuses.merge(status, now);
     if (this.statuses.readers(now).length > before) {
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -284,12 +284,13 @@
   }
 
   private createElection(): ReaderElection {
-    const {settings, hasher} = this.options;
+    const {settings, hasher, clock} = this.options;
     const {address, failureDomain, capacity, inForceLimitMs} = settings;
     return ReaderElection.create({
       self: {reader: address, failureDomain, capacity},
       hasher,
       inForceLimitMs,
+      isFleetKnown: () => this.peers.countDaemons(clock.now()) !== undefined,
     });
   }
 
--- /dev/null
+++ b/src/entry/reader-takeover.spec.ts
@@ -0,0 +1,92 @@
+/** How soon news reaches daemons when the store turns most of the fleet away. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {XxhashHasher} from '../adapters/xxhash-hasher.js';
+import {OutageKind} from '../../standins/catalog-store.js';
+import {createRoute} from '../../standins/catalog-records.js';
+import {SimulatedPlatform} from '../../standins/simulated-platform.js';
+
+const ROUTE = createRoute('pay', {address: 0xc6120001, port: 443});
+const LIMIT_MS = 3_000;
+/** Time between two outages, in which two daemons read the store again. */
+const CALM_MS = 12_000;
+
+async function createFleet(
+  daemons: number,
+  seed: number,
+): Promise<SimulatedPlatform> {
+  return SimulatedPlatform.create(
+    {
+      seed,
+      daemons,
+      failureDomains: ['a', 'b', 'c', 'd'],
+      services: [{name: 'pay', servers: 10, slots: 2, workMs: 20}],
+      routes: [ROUTE],
+      bounds: {
+        drainMs: LIMIT_MS,
+        configurationMs: LIMIT_MS,
+        evacuationMs: LIMIT_MS,
+      },
+    },
+    await XxhashHasher.create(),
+  );
+}
+
+/** Daemons that read the store, according to their last log line about it. */
+function readersOf(platform: SimulatedPlatform): string[] {
+  const waits = new Map(
+    platform.logEntries
+      .filter(({event}) => event === 'reader-changed')
+      .map(({process, fields}) => [process, fields['waits'] === true]),
+  );
+  return [...waits.keys()].filter(name => waits.get(name) === true);
+}
+
+/** Route versions that some daemons hold. */
+function versionsOf(
+  platform: SimulatedPlatform,
+  names: readonly string[],
+): Set<number | undefined> {
+  return new Set(
+    names.map(
+      name => platform.getDaemon(name).running?.catalog.stamp.routeVersion,
+    ),
+  );
+}
+
+// Guards against daemons that learn of a change too late since the daemons that the store
+// turns away try one after the other to take over the reading.
+[8, 30].forEach(daemons =>
+  [1, 2, 3].forEach(seed =>
+    test(`a fourth of ${daemons} daemons learns of changes within 3 s while the store is silent to all others, seed ${seed}`, async () => {
+      const platform = await createFleet(daemons, seed);
+      const names = [...platform.daemons.keys()];
+      for (let round = 0; round < 6; round += 1) {
+        // The outages begin at different phases of the readers' waits.
+        await platform.clock.advance(CALM_MS + round * 270);
+        const readers = readersOf(platform);
+        const others = names.filter(name => !readers.includes(name));
+        const served = others.slice(0, daemons / 4);
+        names
+          .filter(name => !served.includes(name))
+          .forEach(name => platform.store.outages.set(name, OutageKind.SILENT));
+        platform.publishRoutes([ROUTE]);
+        await platform.clock.advance(LIMIT_MS);
+        assert.deepEqual([...versionsOf(platform, served)], [2 + round]);
+        platform.store.outages.clear();
+      }
+    }),
+  ),
+);
+
+[OutageKind.REFUSED, OutageKind.SILENT].forEach(kind =>
+  test(`each of 8 daemons calls a store that is down (${kind}) at most three times in 4 s`, async () => {
+    const platform = await createFleet(8, 1);
+    await platform.clock.advance(CALM_MS);
+    platform.store.outages.set('', kind);
+    const callsBefore = platform.store.calls;
+    await platform.clock.advance(4_000);
+    const calls = platform.store.calls - callsBefore;
+    assert.ok(calls <= 24, `${calls} calls in 4 s`);
+  }),
+);
