Catalog: readers count while they deliver, and pulls take changes of routes alone

Cause: a lease says that a daemon reads, not that others get what it has read. A pull that timed out was begun again at the same reader, and the time until an own read (3.5 to 5.25 s) exceeds the limit that it protects.

Change: a reader that leaves a pull unanswered for 0.4 s does not count at the daemon that pulled for 4 s, which is a sign of trouble for the takeover; such a pull holds no place for others. While two daemons read by turns the next read is due 1.5 s after the last. A read counts as of the store's answer. Pulls take written and removed routes where the peer knows the changes since the version held; a former build asks for none and gets whole lists.

--- a/src/adapters/network-fleet-channel.spec.ts
+++ b/src/adapters/network-fleet-channel.spec.ts
@@ -78,6 +78,8 @@
         routes: [],
         coldServices: [],
         services: [],
+        baseVersion: 0,
+        removed: [],
       },
       servers: undefined,
       other: asker,
--- a/src/adapters/network-fleet-channel.ts
+++ b/src/adapters/network-fleet-channel.ts
@@ -93,6 +93,7 @@
       routes: String(held.routeVersion),
       revision: String(held.serverRevision),
       servers: String(held.serverDigest),
+      'route-changes': held.takesRouteChanges === true ? '1' : '0',
     });
     const {port, clock} = this.options;
     const host = formatIpv4(address);
@@ -168,6 +169,7 @@
     routeVersion: Number(held.get('routes')),
     serverRevision: Number(held.get('revision')),
     serverDigest: Number(held.get('servers')),
+    takesRouteChanges: held.get('route-changes') === '1',
   });
   return {
     status: HttpStatus.OK,
--- a/src/catalog/catalog-exchange.ts
+++ b/src/catalog/catalog-exchange.ts
@@ -4,7 +4,7 @@
  */
 import type {Beat, CatalogUpdate} from '../generated/catalog.js';
 import type {PeerClocks} from '../membership/peer-clocks.js';
-import type {Clock} from '../ports/clock.js';
+import type {Clock, Timer} from '../ports/clock.js';
 import type {FleetChannel, HeldVersions} from '../ports/fleet-channel.js';
 import type {Log} from '../ports/log.js';
 import {formatIpv4} from '../routing/ipv4.js';
@@ -14,6 +14,8 @@
 import {CatalogTransferLimiter} from './catalog-transfer-limiter.js';
 
 const PULL_TIMEOUT_MS = 900;
+/** Time after which an unanswered pull is reported: a busy peer takes up to half of it. */
+const UNANSWERED_PULL_MS = 400;
 /** Limits concurrent pulls; the second one covers for a peer that has failed. */
 const MAX_CONCURRENT_PULLS = 2;
 /** Limits the referrals that one pull follows. */
@@ -43,6 +45,8 @@
   snapshotExpectedUntil(): number;
   /** Called after an update from a peer was applied. */
   onApplied(): void;
+  /** Called when a peer has not answered a pull in time, or the pull has failed. */
+  onUnanswered(peer: number): void;
 }
 
 /** Pulls catalog updates from peers, and answers their pulls. */
@@ -50,6 +54,8 @@
   private readonly limiter: CatalogTransferLimiter;
   /** Addresses of the peers that are being pulled from. */
   private readonly activePulls = new Set<number>();
+  /** Those of them that have not answered in time; their pulls do not hold up others. */
+  private readonly overduePulls = new Set<number>();
   /** Earliest time of the next pull of records; monotonic milliseconds. */
   private nextRecordPullAt = -Infinity;
   /** Digests held and offered when a pull of records last changed nothing. */
@@ -193,12 +199,14 @@
     // A first pull transfers the whole catalog; a second one would halve its bandwidth.
     const isFirst = this.options.catalog.stamp.serverRevision === 0;
     const limit = isFirst ? 1 : MAX_CONCURRENT_PULLS;
-    if (this.activePulls.has(peer) || this.activePulls.size >= limit) {
+    const pending = this.activePulls.size - this.overduePulls.size;
+    if (this.activePulls.has(peer) || pending >= limit) {
       return;
     }
     this.activePulls.add(peer);
     await pull();
     this.activePulls.delete(peer);
+    this.overduePulls.delete(peer);
   }
 
   /** Waits for the snapshot from the source while it is expected. */
@@ -221,11 +229,13 @@
   ): Promise<boolean> {
     const {channel, clock, log} = this.options;
     const requestedAt = clock.now();
+    const overdue = this.reportUnanswered(holder);
     const update = await channel.pull(
       holder,
       this.heldVersions(pullsAll),
       requestedAt + PULL_TIMEOUT_MS,
     );
+    overdue?.cancel();
     if (update.isErr()) {
       const cause = update.error.message;
       log.warn('pull-failed', {peer: formatIpv4(holder), cause});
@@ -249,6 +259,23 @@
     return this.pull(other, pullsAll, referralsLeft - 1);
   }
 
+  /**
+   * Schedules the report of a peer that leaves a pull unanswered. A daemon without a catalog
+   * reports none: its peers may be busy with many that start.
+   */
+  private reportUnanswered(peer: number): Timer | undefined {
+    const {catalog, clock} = this.options;
+    return catalog.isComplete
+      ? clock.callAt(clock.now() + UNANSWERED_PULL_MS, () => {
+          // The daemon of a referral holds up the pull that led to it.
+          if (this.activePulls.has(peer)) {
+            this.overduePulls.add(peer);
+          }
+          this.options.onUnanswered(peer);
+        })
+      : undefined;
+  }
+
   private sleepUntil(time: number): Promise<void> {
     return new Promise(resolve => {
       this.options.clock.callAt(time, resolve);
@@ -263,6 +290,7 @@
       routeVersion,
       serverRevision: pullsAll ? 0 : serverRevision,
       serverDigest,
+      takesRouteChanges: true,
     };
   }
 
--- a/src/catalog/catalog-gossip.ts
+++ b/src/catalog/catalog-gossip.ts
@@ -135,6 +135,7 @@
       ...options,
       self: options.self().address,
       onApplied: () => this.relay(),
+      onUnanswered: peer => this.onPullUnanswered(peer),
     });
   }
 
@@ -162,6 +163,15 @@
     };
   }
 
+  /** Has another daemon read the source if a reader does not deliver what it has read. */
+  private onPullUnanswered(peer: number): void {
+    const {election, clock, log} = this.options;
+    if (election.recordUnserved(peer, clock.now())) {
+      log.info('reader-unserved', {reader: formatIpv4(peer)});
+      this.options.onElectionChange();
+    }
+  }
+
   /** Whether a catalog pull is in progress. */
   get isPulling(): boolean {
     return this.exchange.isPulling;
--- a/src/catalog/catalog-messages.ts
+++ b/src/catalog/catalog-messages.ts
@@ -21,7 +21,6 @@
   type RouteListing,
   type ServerListing,
 } from './records.js';
-import type {KnownRoute} from './route-table.js';
 
 /** Format of the snapshots that this build writes and reads. */
 const SNAPSHOT_FORMAT = 0;
@@ -84,7 +83,7 @@
   return {
     routes:
       stamp.routeVersion > held.routeVersion
-        ? encodeRouteList(catalog, now)
+        ? encodeRouteList(catalog, held, now)
         : undefined,
     servers: lacksServers
       ? encodeServerList(catalog, held.serverRevision, now)
@@ -162,7 +161,15 @@
 }
 
 function applyRouteList(catalog: Catalog, list: RouteList, now: number): void {
-  catalog.applyRoutes(decodeRouteList(list), now - list.ageMs);
+  const {baseVersion, removed} = list;
+  const {routes, ...version} = decodeRouteList(list);
+  const confirmedAt = now - list.ageMs;
+  if (baseVersion === 0) {
+    catalog.applyRoutes({...version, routes}, confirmedAt);
+  } else {
+    const changes = {written: routes, removed};
+    catalog.applyRouteUpdate({...version, baseVersion, changes}, confirmedAt);
+  }
 }
 
 function decodeServerList(list: ServerList, now: number): ServerListing {
@@ -180,18 +187,30 @@
   return {version, routes, coldServices, services};
 }
 
-function encodeRouteList(catalog: Catalog, now: number): RouteList {
+/** Encodes the changes since the held version if they are known and taken, else all routes. */
+function encodeRouteList(
+  catalog: Catalog,
+  held: HeldVersions,
+  now: number,
+): RouteList {
   const {routeVersion, routesConfirmedAt} = catalog.stamp;
+  const changes =
+    held.takesRouteChanges === true
+      ? catalog.routeChangesSince(held.routeVersion)
+      : undefined;
+  const routes = changes?.written ?? catalog.allRoutes();
   return {
     version: routeVersion,
     ageMs: encodeAge(routesConfirmedAt, now),
-    routes: catalog.allRoutes().map(encodeRoute),
+    routes: routes.map(encodeRoute),
     coldServices: [...catalog.coldServices()],
     services: [...(catalog.serviceNames() ?? [])],
+    baseVersion: changes === undefined ? 0 : held.routeVersion,
+    removed: [...(changes?.removed ?? [])],
   };
 }
 
-function encodeRoute(route: KnownRoute): RouteEntry {
+function encodeRoute(route: CatalogRoute): RouteEntry {
   const {address, port, shares, repeatable, regions, priority} = route;
   return {
     address,
--- a/src/catalog/catalog-reader.ts
+++ b/src/catalog/catalog-reader.ts
@@ -112,6 +112,11 @@
   private readonly startedAt: number;
   /** When the last read succeeded; monotonic milliseconds. */
   private lastReadAt = -Infinity;
+  /**
+   * When the store answers the current call at the latest, in monotonic milliseconds;
+   * Infinity for reads of the whole catalog.
+   */
+  private answerDueAt = Infinity;
 
   private readonly snapshotReader: SnapshotReader;
   private readonly snapshotWriter: SnapshotWriter;
@@ -288,6 +293,7 @@
   private async readOnce(): Promise<SourceFailure | undefined> {
     const {catalog, clock} = this.options;
     const sentAt = clock.now();
+    this.answerDueAt = Infinity;
     if (catalog.stamp.serverRevision === 0 && this.startsFromStale) {
       return this.readStaleCatalog(sentAt);
     }
@@ -335,6 +341,7 @@
   ): Promise<Result<EventsReading, SourceFailure>> {
     const {catalog, source} = this.options;
     const deadline = sentAt + this.eventWaitMs(sentAt);
+    this.answerDueAt = deadline;
     const {serverRevision} = catalog.stamp;
     return Promise.resolve(source.awaitEvents(serverRevision, deadline));
   }
@@ -363,17 +370,21 @@
     }
   }
 
-  /** A first read makes no daemon a reader: all of them may start at once. */
+  /**
+   * Records a read as of the store's answer: a slow daemon handles it much later. A first
+   * read makes no daemon a reader, since all of them may start at once.
+   */
   private recordSuccess(isFirst: boolean): void {
     const {log, clock, election} = this.options;
+    const now = clock.now();
     if (this.consecutiveFailures > 0) {
       log.warn('source-regained', {failures: this.consecutiveFailures});
     }
     this.consecutiveFailures = 0;
-    this.lastReadAt = clock.now();
+    this.lastReadAt = now;
     this.resetConfirmationTimeout();
     if (!isFirst) {
-      election.recordSuccess(clock.now());
+      election.recordSuccess(Math.min(now, this.answerDueAt), now);
     }
     this.options.announce();
   }
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -13,7 +13,9 @@
   CatalogStamp,
   ColdRateLimit,
   DomainChange,
+  RouteChanges,
   RouteListing,
+  RouteUpdate,
   ServerListing,
   UnreadableEntry,
 } from './records.js';
@@ -245,12 +247,31 @@
     confirmedAt: number,
     changedAt = confirmedAt,
   ): void {
-    if (!this.routes.apply(listing, confirmedAt, changedAt)) {
-      return;
+    if (this.routes.apply(listing, confirmedAt, changedAt)) {
+      this.onNewRoutes();
+    }
+  }
+
+  /**
+   * Applies the changes that lead to a version of the routes that was the newest at
+   * `confirmedAt`, in monotonic milliseconds, unless they are relative to another version
+   * than the current one.
+   */
+  applyRouteUpdate(update: RouteUpdate, confirmedAt: number): void {
+    if (this.routes.applyUpdate(update, confirmedAt)) {
+      this.onNewRoutes();
     }
+  }
+
+  /** Returns the changes of the routes since a version; undefined if they are not known. */
+  routeChangesSince(version: number): RouteChanges | undefined {
+    return this.routes.changesSince(version);
+  }
+
+  private onNewRoutes(): void {
     this.cookieMasks.clear();
     this.servers.applyDeclaredServices();
-    this.notify({...NO_CHANGE, routeVersion: listing.version});
+    this.notify({...NO_CHANGE, routeVersion: this.routes.version});
   }
 
   /** Records that a version was still the newest at a time, if it is the current one. */
--- a/src/catalog/reader-election.ts
+++ b/src/catalog/reader-election.ts
@@ -8,7 +8,11 @@
 import {ReadState} from '../generated/catalog.js';
 import type {Hasher} from '../ports/hasher.js';
 import {ReaderStatuses, type ReaderStatus} from './reader-statuses.js';
-import {computeElectionPosition, type RankedDaemon} from './reader-rank.js';
+import {
+  computeElectionPosition,
+  computeFirstPosition,
+  type RankedDaemon,
+} from './reader-rank.js';
 
 /** Daemons that watch the store at a time. */
 const READER_COUNT = 2;
@@ -33,6 +37,15 @@
 /** How long a daemon is no candidate after a failed read. */
 const FAILURE_BACKOFF_MS = 4_000;
 
+/** How long a reader that left a pull unanswered does not count as one. */
+const UNSERVED_BACKOFF_MS = 4_000;
+
+/**
+ * Longest time between two reads of the fleet while two daemons read by turns: half of a
+ * wait, the pause after it, and a margin for a slow store and for gossip.
+ */
+const MAX_READ_GAP_MS = 1_500;
+
 /**
  * Delay from the first sign of trouble to the first takeover that no other attempt puts
  * off: time for one candidate to announce that it has read.
@@ -59,14 +72,16 @@
   readonly hasher: Hasher;
   /** Propagation limit: time by which all daemons must use a published version. */
   readonly inForceLimitMs: number;
-  /** Returns whether the daemon knows all its peers: the fleet is small. */
-  isFleetKnown(): boolean;
+  /** Returns the number of running daemons; undefined if only part of them is known. */
+  countDaemons(): number | undefined;
 }
 
 /** One daemon's view of the election and its part in it. */
 export class ReaderElection {
   private readonly statuses: ReaderStatuses;
   private readonly leaseMs: number;
+  /** Time between two reads from which on two readers count as late. */
+  private readonly readGapMs: number;
   private readonly electionWindowMs: number;
   /** This daemon's position in the order of candidates, mostly from 0 to 1. */
   readonly position: number;
@@ -79,14 +94,22 @@
   private backoffUntil = -Infinity;
   /** When any daemon last read; monotonic milliseconds. */
   private lastReadAt = -Infinity;
-  /** When a daemon first ceased to read after that; undefined: none has. */
+  /** When the next read by any daemon is due; monotonic milliseconds. */
+  private nextReadDueAt = Infinity;
+  /** When a daemon first ceased to read after the last read; undefined: none has. */
   private firstCeasedAt: number | undefined;
   /** When this daemon last began a read; monotonic milliseconds. */
   private lastOwnAttemptAt = -Infinity;
+  /**
+   * Until when each reader that left a pull of this daemon unanswered does not count, by
+   * address; monotonic milliseconds.
+   */
+  private readonly unservedUntil = new Map<number, number>();
 
   private constructor(private readonly options: ReaderElectionOptions) {
     const {self, hasher, inForceLimitMs} = options;
     this.leaseMs = Math.min(MAX_LEASE_MS, inForceLimitMs * LEASE_FRACTION);
+    this.readGapMs = Math.min(MAX_READ_GAP_MS, this.leaseMs);
     this.statuses = ReaderStatuses.create(hasher, this.leaseMs);
     this.electionWindowMs = Math.min(
       MAX_ELECTION_WINDOW_MS,
@@ -113,10 +136,10 @@
     this.recordOwnStatus(ReadState.READ_TRYING, now);
   }
 
-  /** Records a successful read, which may make this daemon a reader. */
-  recordSuccess(now: number): void {
+  /** Records a successful read as of a time, which may make this daemon a reader. */
+  recordSuccess(at: number, now: number): void {
     this.backoffUntil = -Infinity;
-    this.recordOwnStatus(ReadState.READ_DONE, now);
+    this.merge({...this.options.self, state: ReadState.READ_DONE, at}, now);
   }
 
   /** Records a failed read, after which this daemon backs off. */
@@ -131,6 +154,19 @@
     this.recordOwnStatus(ReadState.READ_CEASED, now);
   }
 
+  /**
+   * Records that a peer left a pull unanswered. A reader from which this daemon cannot get
+   * what it has read does not count for a while; returns whether the peer was one.
+   */
+  recordUnserved(peer: number, now: number): boolean {
+    const wasReader = this.readers(now).some(({reader}) => reader === peer);
+    if (wasReader) {
+      this.unservedUntil.set(peer, now + UNSERVED_BACKOFF_MS);
+      this.firstCeasedAt ??= now;
+    }
+    return wasReader;
+  }
+
   /** Whether this daemon is one of the elected readers. */
   isReader(now: number): boolean {
     const rank = this.rankAt(now);
@@ -147,14 +183,12 @@
    * milliseconds.
    */
   firstReaderReadAt(now: number): number | undefined {
-    return this.rankAt(now) === 1
-      ? this.statuses.readers(now).at(0)?.at
-      : undefined;
+    return this.rankAt(now) === 1 ? this.readers(now).at(0)?.at : undefined;
   }
 
   /** Returns how many daemons are known to read, this one included. */
   countReaders(now: number): number {
-    return this.statuses.readers(now).length;
+    return this.readers(now).length;
   }
 
   /**
@@ -162,13 +196,15 @@
    * when the first lease ends; monotonic milliseconds. Later statuses may change it.
    */
   nextCandidacyAt(now: number): number {
-    const readers = this.statuses.readers(now);
+    const readers = this.readers(now);
+    const takeoverAt = this.takeoverAt(readers.length);
     if (readers.length >= READER_COUNT) {
       this.missingReaderSince = undefined;
-      const firstExpiry = Math.min(
+      const firstReadAt = Math.min(
         ...readers.slice(0, READER_COUNT).map(({at}) => at),
       );
-      return firstExpiry + this.leaseMs + 1;
+      const firstExpiry = firstReadAt + this.leaseMs + 1;
+      return Math.max(Math.min(firstExpiry, takeoverAt), this.backoffUntil);
     }
     this.missingReaderSince ??= now;
     const {failureDomain} = this.options.self;
@@ -176,27 +212,32 @@
     const position = this.position + (isSameDomain ? SAME_DOMAIN_PENALTY : 0);
     const from = Math.max(this.missingReaderSince, this.suppressedUntil(now));
     const turnAt = from + position * this.electionWindowMs;
-    return Math.max(Math.min(turnAt, this.takeoverAt()), this.backoffUntil);
+    return Math.max(Math.min(turnAt, takeoverAt), this.backoffUntil);
   }
 
   /**
    * Returns when this daemon reads although others attempt to; Infinity: not before its
    * turn. Attempts that fail one after the other would take longer than the propagation
    * limit, so each daemon makes one on its own if none has read since the first sign of
-   * trouble: a daemon that ceased to read, or no read for the length of a lease.
+   * trouble: too long a time without a read or, while a reader is missing, a daemon that
+   * ceased to read or left a pull unanswered.
    */
-  private takeoverAt(): number {
+  private takeoverAt(readerCount: number): number {
     const wasRead = this.lastReadAt > -Infinity;
     const hasTried = this.lastOwnAttemptAt > this.lastReadAt;
+    const daemons = this.options.countDaemons();
     const isEligible =
-      this.options.isFleetKnown() || this.position <= MAX_TAKEOVER_POSITION;
+      daemons !== undefined || this.position <= MAX_TAKEOVER_POSITION;
     if (!wasRead || hasTried || !isEligible) {
       return Infinity;
     }
-    const expiresAt = this.lastReadAt + this.leaseMs;
-    const troubleAt = Math.min(expiresAt, this.firstCeasedAt ?? Infinity);
-    const delayMs = TAKEOVER_DELAY_MS + this.position * this.electionWindowMs;
-    return troubleAt + delayMs;
+    const troubleAt =
+      readerCount >= READER_COUNT
+        ? this.nextReadDueAt
+        : Math.min(this.nextReadDueAt, this.firstCeasedAt ?? Infinity);
+    const turns = this.position - computeFirstPosition(daemons ?? Infinity);
+    const delayMs = Math.max(0, turns) * this.electionWindowMs;
+    return troubleAt + TAKEOVER_DELAY_MS + delayMs;
   }
 
   /**
@@ -210,7 +251,7 @@
   /** Selects the statuses for a heartbeat. */
   selectStatusesToGossip(now: number): ReaderStatus[] {
     return [
-      ...this.statuses.readers(now).slice(0, GOSSIPED_READERS),
+      ...this.readers(now).slice(0, GOSSIPED_READERS),
       ...this.statuses.nonReaders(now).slice(0, GOSSIPED_NON_READERS),
     ];
   }
@@ -227,12 +268,21 @@
     return Math.max(-Infinity, ...known);
   }
 
+  /** Returns the daemons that read and answer pulls, in order of rank. */
+  private readers(now: number): ReaderStatus[] {
+    return this.statuses
+      .readers(now)
+      .filter(({reader}) => !this.isUnserved(reader, now));
+  }
+
+  private isUnserved(reader: number, now: number): boolean {
+    return (this.unservedUntil.get(reader) ?? -Infinity) > now;
+  }
+
   /** Returns this daemon's rank among the readers, or -1 if it is none. */
   private rankAt(now: number): number {
     const {reader} = this.options.self;
-    return this.statuses
-      .readers(now)
-      .findIndex(status => status.reader === reader);
+    return this.readers(now).findIndex(status => status.reader === reader);
   }
 
   private recordOwnStatus(state: ReadState, at: number): void {
@@ -240,9 +290,13 @@
   }
 
   /** Records when the source was last read, and when a daemon ceased to read since. */
-  private recordProgress({state, at}: ReaderStatus): void {
-    if (state === ReadState.READ_DONE && at > this.lastReadAt) {
+  private recordProgress({reader, state, at}: ReaderStatus, now: number): void {
+    const isRead =
+      state === ReadState.READ_DONE && !this.isUnserved(reader, now);
+    if (isRead && at > this.lastReadAt) {
+      const readsByTurns = this.readers(now).length >= READER_COUNT;
       this.lastReadAt = at;
+      this.nextReadDueAt = at + (readsByTurns ? this.readGapMs : this.leaseMs);
       this.firstCeasedAt = undefined;
     }
     if (state === ReadState.READ_CEASED && at > this.lastReadAt) {
@@ -252,10 +306,10 @@
 
   /** Merges a status; an additional reader restarts the election window. */
   private merge(status: ReaderStatus, now: number): number {
-    this.recordProgress(status);
-    const before = this.statuses.readers(now).length;
+    const before = this.readers(now).length;
     const gain = this.statuses.merge(status, now);
-    if (this.statuses.readers(now).length > before) {
+    this.recordProgress(status, now);
+    if (this.readers(now).length > before) {
       this.missingReaderSince = now;
     }
     return gain;
--- a/src/catalog/reader-rank.ts
+++ b/src/catalog/reader-rank.ts
@@ -58,6 +58,14 @@
   return Math.max(0, position) + shortfallOf(daemon) / (2 * CAPACITY_STEPS);
 }
 
+/**
+ * Returns the position to expect of the first of a number of daemons with the preferred
+ * capacity; 0 for as many as the positions are made for, and more.
+ */
+export function computeFirstPosition(daemons: number): number {
+  return Math.max(0, 1 - Math.log(daemons) / Math.log(MAX_FLEET_SIZE));
+}
+
 function rankKeyOf(daemon: RankedDaemon, hasher: Hasher): number {
   return shortfallOf(daemon) * HASH_RANGE + hashOf(daemon, hasher);
 }
--- a/src/catalog/records.ts
+++ b/src/catalog/records.ts
@@ -58,11 +58,15 @@
   readonly weight: number;
 }
 
-/** A destination address of callers and the services that serve it. */
-export interface CatalogRoute {
+/** A destination address of callers. */
+export interface Destination {
   /** IPv4 address as an unsigned number. */
   readonly address: number;
   readonly port: number;
+}
+
+/** A destination and the services that serve it. */
+export interface CatalogRoute extends Destination {
   readonly shares: readonly ServiceShare[];
   /** Whether callers retry requests that were not answered. */
   readonly repeatable: boolean;
@@ -123,6 +127,19 @@
   readonly services?: readonly string[];
 }
 
+/** Routes written or removed since a version. */
+export interface RouteChanges {
+  readonly written: readonly CatalogRoute[];
+  readonly removed: readonly Destination[];
+}
+
+/** The changes that lead from one version of the route configuration to another. */
+export interface RouteUpdate extends Omit<RouteListing, 'routes'> {
+  /** Version that the changes are relative to. */
+  readonly baseVersion: number;
+  readonly changes: RouteChanges;
+}
+
 /** Version stamp of a catalog: versions, digest and when they were last confirmed. */
 export interface CatalogStamp {
   /** Version of the routes; 0: none yet. */
--- a/src/catalog/route-table.ts
+++ b/src/catalog/route-table.ts
@@ -3,7 +3,15 @@
  * version assigned to each destination.
  */
 import {destinationKey} from '../routing/flow-key.js';
-import type {CatalogRoute, ColdRateLimit, RouteListing} from './records.js';
+import type {
+  CatalogRoute,
+  ColdRateLimit,
+  Destination,
+  RouteChanges,
+  RouteListing,
+  RouteUpdate,
+} from './records.js';
+import {RouteHistory, areEqualRoutes} from './route-history.js';
 
 /** A route with all services that any known version assigned to it. */
 export interface KnownRoute extends CatalogRoute {
@@ -16,6 +24,7 @@
   private readonly routes = new Map<number, KnownRoute>();
   /** Services that any known version assigned to a destination, by `destinationKey`. */
   private readonly allowedByDestination = new Map<number, Set<string>>();
+  private readonly history = RouteHistory.create();
   private cold: readonly ColdRateLimit[] = [];
   /** All declared services; undefined if a known version omits them. */
   private services: Set<string> | undefined = new Set();
@@ -97,13 +106,74 @@
     if (listing.version === this.newestVersion) {
       return false;
     }
+    const changes = this.diff(listing.routes);
+    this.advance(listing, changes, changedAt);
+    return true;
+  }
+
+  /**
+   * Applies the changes that lead to a version that was the newest at `confirmedAt`, in
+   * monotonic milliseconds. Returns whether it is newer than the current version; changes
+   * relative to another version than the current one are ignored.
+   */
+  applyUpdate(update: RouteUpdate, confirmedAt: number): boolean {
+    if (update.version === this.newestVersion) {
+      this.confirm(confirmedAt);
+    }
+    const isNext =
+      update.baseVersion === this.newestVersion &&
+      update.version > this.newestVersion;
+    if (isNext) {
+      this.confirm(confirmedAt);
+      this.advance(update, update.changes, confirmedAt);
+    }
+    return isNext;
+  }
+
+  /** Returns the changes since a version; undefined if they are not known. */
+  changesSince(version: number): RouteChanges | undefined {
+    return this.history.changesSince(version);
+  }
+
+  /** Returns the changes from the current routes to others. */
+  private diff(routes: readonly CatalogRoute[]): RouteChanges {
+    const written = routes.filter(
+      route => !areEqualRoutes(this.find(route.address, route.port), route),
+    );
+    const added = written.filter(
+      ({address, port}) => this.find(address, port) === undefined,
+    );
+    const isAnyRemoved = this.routes.size + added.length > routes.length;
+    return {written, removed: isAnyRemoved ? this.listMissing(routes) : []};
+  }
+
+  /** Lists the destinations of the current routes that are missing from others. */
+  private listMissing(routes: readonly CatalogRoute[]): Destination[] {
+    const listed = new Set(
+      routes.map(({address, port}) => destinationKey(address, port)),
+    );
+    return [...this.routes]
+      .filter(([key]) => !listed.has(key))
+      .map(([, {address, port}]) => ({address, port}));
+  }
+
+  /** Makes a version the current one by its changes. */
+  private advance(
+    listing: Omit<RouteListing, 'routes'>,
+    changes: RouteChanges,
+    changedAt: number,
+  ): void {
+    if (this.newestVersion > 0) {
+      this.history.append(this.newestVersion, changes);
+    }
     this.newestVersion = listing.version;
     this.changedAt = changedAt;
     this.cold = listing.coldServices;
-    this.routes.clear();
-    listing.routes.forEach(route => this.put(route));
-    this.mergeServices(listing);
-    return true;
+    changes.removed.forEach(({address, port}) =>
+      this.routes.delete(destinationKey(address, port)),
+    );
+    changes.written.forEach(route => this.put(route));
+    this.mergeServices(listing.services, changes.written);
   }
 
   /** Records that the current version was still the newest at a time. */
@@ -111,8 +181,11 @@
     this.lastConfirmedAt = Math.max(this.lastConfirmedAt, at);
   }
 
-  /** Adds the services that a version declares or routes to. */
-  private mergeServices({services, routes}: RouteListing): void {
+  /** Adds the services that a version declares, and those that its new routes name. */
+  private mergeServices(
+    services: readonly string[] | undefined,
+    routes: readonly CatalogRoute[],
+  ): void {
     const routed = routes.flatMap(({shares}) =>
       shares.map(({service}) => service),
     );
--- a/src/entry/entry-daemon.ts
+++ b/src/entry/entry-daemon.ts
@@ -290,7 +290,7 @@
       self: {reader: address, failureDomain, capacity},
       hasher,
       inForceLimitMs,
-      isFleetKnown: () => this.peers.countDaemons(clock.now()) !== undefined,
+      countDaemons: () => this.peers.countDaemons(clock.now()),
     });
   }
 
--- a/src/entry/reader-takeover.spec.ts
+++ b/src/entry/reader-takeover.spec.ts
@@ -1,4 +1,7 @@
-/** How soon news reaches daemons when the store turns most of the fleet away. */
+/**
+ * How soon news reaches daemons when the store turns most of the fleet away, or when the
+ * daemons that read it do not pass it on.
+ */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
@@ -79,6 +82,31 @@
   ),
 );
 
+// Guards against daemons that wait for readers which read the store but answer no pulls in
+// time, and learn of changes too late.
+[8, 30].forEach(daemons =>
+  [1, 2, 3].forEach(seed =>
+    test(`${daemons} daemons learn of changes within 3 s while both readers answer no pulls, seed ${seed}`, async () => {
+      const platform = await createFleet(daemons, seed);
+      for (let round = 0; round < 4; round += 1) {
+        await platform.clock.advance(CALM_MS + round * 270);
+        const readers = readersOf(platform);
+        readers
+          .map(name => platform.getDaemon(name).settings.address)
+          .forEach(address => platform.network.unansweringDaemons.add(address));
+        const callsBefore = platform.store.calls;
+        platform.publishRoutes([ROUTE]);
+        await platform.clock.advance(LIMIT_MS);
+        const names = [...platform.daemons.keys()];
+        assert.deepEqual([...versionsOf(platform, names)], [2 + round]);
+        const calls = platform.store.calls - callsBefore;
+        assert.ok(calls <= 20, `${calls} calls in 3 s`);
+        platform.network.unansweringDaemons.clear();
+      }
+    }),
+  ),
+);
+
 [OutageKind.REFUSED, OutageKind.SILENT].forEach(kind =>
   test(`each of 8 daemons calls a store that is down (${kind}) at most three times in 4 s`, async () => {
     const platform = await createFleet(8, 1);
--- a/src/ports/fleet-channel.ts
+++ b/src/ports/fleet-channel.ts
@@ -11,6 +11,8 @@
   /** Revision up to which its servers are complete; 0 requests all of them. */
   readonly serverRevision: number;
   readonly serverDigest: number;
+  /** Whether it takes the changes of the routes in place of all routes; absent: no. */
+  readonly takesRouteChanges?: boolean;
 }
 
 /** Handlers of messages from peers. */
--- a/standins/memory-channel.ts
+++ b/standins/memory-channel.ts
@@ -21,6 +21,8 @@
 export class ChannelNetwork {
   /** Blocked paths, as "from>to" with IPv4 addresses as numbers. */
   readonly blockedPaths = new Set<string>();
+  /** Addresses of daemons that send heartbeats but answer no pulls. */
+  readonly unansweringDaemons = new Set<number>();
   /** Fraction of heartbeats that are lost. */
   heartbeatLossRate = 0;
   /** Counts of messages and bytes sent. */
@@ -80,6 +82,7 @@
   findReachablePeer(from: number, to: number): FleetHandlers | undefined {
     const open =
       !this.heldHeartbeats.has(to) &&
+      !this.unansweringDaemons.has(to) &&
       !this.blockedPaths.has(`${from}>${to}`) &&
       !this.blockedPaths.has(`${to}>${from}`);
     return open ? this.handlers.get(to) : undefined;
