System clock: no call comes before its deadline

Probes and pulls that give up early are taken for unanswered.

Change: the delay is rounded up, and a timer that fires early is set again.

--- a/src/adapters/system-clock.ts
+++ b/src/adapters/system-clock.ts
@@ -26,7 +26,14 @@
   }
 
   callAt(deadline: number, task: () => void): Timer {
-    const handle = setTimeout(task, Math.max(0, deadline - this.now()));
+    let handle: NodeJS.Timeout;
+    // Node.js counts a delay in whole milliseconds, from the start of the event loop's turn,
+    // so a timer may fire before its time.
+    const run = () => (this.now() < deadline ? start() : task());
+    const start = () => {
+      handle = setTimeout(run, Math.max(0, Math.ceil(deadline - this.now())));
+    };
+    start();
     return {cancel: () => clearTimeout(handle)};
   }
 }
