Probes: silence is no evidence for a process that was too busy to hear an answer

Cause: timers run before arrived answers in a turn of the event loop. A process that was busy until shortly after the deadline started its connections and took the time-out in the same turn; only a timer more than 80 ms late counted as inconclusive.

--- a/src/adapters/tcp-contact.spec.ts
+++ b/src/adapters/tcp-contact.spec.ts
@@ -65,6 +65,28 @@
   assert.ok(clock.now() - startedAt >= CONTACT_TIMEOUT_MS - 1);
 });
 
+/** Keeps the event loop's turn busy. */
+function spin(milliseconds: number): void {
+  const until = clock.now() + milliseconds;
+  while (clock.now() < until);
+}
+
+// Guards against flows being reset since a busy daemon takes a live server for silent.
+[50, CONTACT_TIMEOUT_MS + 10].forEach(busyMs =>
+  test(`a live host is not silent to a process that is busy up to the deadline, for ${busyMs} ms`, async t => {
+    const server = net.createServer(socket =>
+      socket.on('error', () => undefined),
+    );
+    t.after(() => server.close());
+    const port = await listen(server);
+    const contact = TcpContact.create(clock);
+    const deadline = clock.now() + CONTACT_TIMEOUT_MS;
+    const probe = contact.probe({address: LOOPBACK, port}, deadline);
+    spin(busyMs);
+    assert.equal(await probe, ProbeResult.REACHED);
+  }),
+);
+
 /** A clock whose pending calls are counted. */
 class CountingClock extends Clock {
   pending = 0;
