--- a/src/entry/reader-takeover.spec.ts
+++ b/src/entry/reader-takeover.spec.ts
@@ -118,3 +118,21 @@
     assert.ok(calls <= 24, `${calls} calls in 4 s`);
   }),
 );
+
+// Guards against changes that are known late since calls of the last moments of a silent
+// outage are still awaited after its end.
+[2_600, 3_300, 3_700, 4_100].forEach(outageMs =>
+  test(`8 daemons learn of changes within 3 s of the end of a silent outage of ${outageMs} ms`, async () => {
+    const platform = await createFleet(8, outageMs);
+    for (let round = 0; round < 4; round += 1) {
+      await platform.clock.advance(CALM_MS + round * 270);
+      platform.store.outages.set('', OutageKind.SILENT);
+      await platform.clock.advance(outageMs);
+      platform.store.outages.clear();
+      platform.publishRoutes([ROUTE]);
+      await platform.clock.advance(LIMIT_MS);
+      const names = [...platform.daemons.keys()];
+      assert.deepEqual([...versionsOf(platform, names)], [2 + round]);
+    }
+  }),
+);
