--- a/src/catalog/bootstrapping-peers.ts
+++ b/src/catalog/bootstrapping-peers.ts
@@ -5,7 +5,10 @@
 
 /** How long a peer counts as bootstrapping after it last reported so. */
 const BOOTSTRAP_TTL_MS = 1_500;
-/** Limits the burst of heartbeats, of 250 bytes each, that notifies all of them. */
+/**
+ * Limits the burst of heartbeats that notifies all of them: 250 bytes each, 36 ms in all on
+ * a link of 14 Mbit/s.
+ */
 const MAX_PEERS = 256;
 
 /** The bootstrapping peers that one daemon knows. */
--- a/src/catalog/catalog-gossip.ts
+++ b/src/catalog/catalog-gossip.ts
@@ -37,7 +37,10 @@
 
 /** Interval between heartbeat rounds, before a jitter of 10% either way. */
 const HEARTBEAT_INTERVAL_MS = 500;
-/** Interval during the startup period while no peer is live: its seeds may start too. */
+/**
+ * Interval during the startup period while no peer is live: its seeds may start too. After
+ * the loss of all daemons fast ones have the catalog before their seeds run.
+ */
 const STARTUP_HEARTBEAT_INTERVAL_MS = 30;
 /** Length of the startup period. */
 const STARTUP_PERIOD_MS = 5_000;
@@ -52,7 +55,10 @@
 const MAX_FULL_MESH_PEERS = 16;
 /** Receivers in the own failure domain in a larger fleet, besides one in any domain. */
 const SAME_DOMAIN_FANOUT = 2;
-/** Rounds between pings of silent peers, while any peer is live. */
+/**
+ * Rounds between pings of silent peers, while any peer is live. A daemon without live peers
+ * pings in each round, since it reads the source by itself until it hears of one.
+ */
 const SILENT_PEER_PING_ROUNDS = 4;
 /** How much fresher the catalog has to become for a heartbeat to be relayed. */
 const RELAY_THRESHOLD_MS = 300;
--- a/src/catalog/catalog-reader.ts
+++ b/src/catalog/catalog-reader.ts
@@ -29,24 +29,34 @@
 const MAX_PHASE_ERROR = 1 / 4;
 /**
  * Age at which an unconfirmed catalog is read from the source although there are
- * readers, unless the propagation limit is longer. Up to half of it is added as jitter.
+ * readers, unless the propagation limit is longer: the news of its peers does not reach the
+ * daemon. Up to half of it is added as jitter.
  */
 const MIN_CONFIRMATION_TIMEOUT_MS = 3_500;
-/** Deadline of a full read; a slow store or link takes seconds for a large catalog. */
+/**
+ * Deadline of a full read. A store that answers in 300 ms gives ten pages in 3 s, and 2,800
+ * routes take a link of 2 Mbit/s some 3 s.
+ */
 const READ_TIMEOUT_MS = 10_000;
 /** Delay after the first failed read; it doubles with each further one. */
 const INITIAL_RETRY_DELAY_MS = 200;
 const MAX_RETRY_DELAY_MS = 1_200;
-/** Window over which first reads are spread when the fleet starts for the first time. */
+/**
+ * Window over which first reads are spread when the fleet starts for the first time. Callers
+ * come seconds later, and all other daemons pull what one has read.
+ */
 const FIRST_START_WINDOW_MS = 3_000;
 /**
  * Head start that peers get over a starting daemon's own first read: a minimum, and the
  * time in which its link carries some kilobits. A peer's copy of the catalog is a
- * fraction of the size of the source's answer.
+ * fraction of the size of the source's answer: with 1,400 routes 55 kB of 300 kB.
  */
 const MIN_PEER_HEAD_START_MS = 10;
 const PEER_HEAD_START_KILOBITS = 1_000;
-/** Limits the head start: it is lost time if no peer has a catalog either. */
+/**
+ * Limits the head start: daemons on fast links have the catalog before slow ones, but it is
+ * lost time if no peer has a catalog either.
+ */
 const MAX_PEER_HEAD_START_MS = 60;
 /** How much longer the first read is put off while a pull from a peer is in progress. */
 const PULL_GRACE_MS = 200;
@@ -55,7 +65,10 @@
  * another stale read.
  */
 const SNAPSHOT_TIMEOUT_MS = 100;
-/** Pause after the first read, in which peers bring the catalog up to date. */
+/**
+ * Pause after the first read, in which peers bring the catalog up to date. A daemon without
+ * live peers reads by itself afterwards.
+ */
 const FIRST_READ_PAUSE_MS = 500;
 /** Pause after other reads, so that a burst of events takes few calls. */
 const EVENT_BATCH_MS = 200;
--- a/src/catalog/reader-election.ts
+++ b/src/catalog/reader-election.ts
@@ -19,7 +19,8 @@
 
 /**
  * Lease of a reader and length of the election window, as fractions of the propagation
- * limit. Together they leave at least a twelfth of it for gossip.
+ * limit. Together they leave at least a twelfth of it for gossip. At a limit of 3 s the
+ * first few candidates of a fleet of any size take some 0.3 s of the window.
  */
 const LEASE_FRACTION = 0.75;
 const ELECTION_WINDOW_FRACTION = 1 / 6;
@@ -31,7 +32,10 @@
 const MAX_LEASE_MS = 2_250;
 const MAX_ELECTION_WINDOW_MS = 500;
 
-/** How long an attempt without an outcome suppresses other candidates. */
+/**
+ * How long an attempt without an outcome suppresses other candidates: some seventy usual
+ * answers of the store.
+ */
 const CANDIDACY_TIMEOUT_MS = 300;
 
 /** How long a daemon is no candidate after a failed read. */
--- a/src/catalog/snapshot-writer.ts
+++ b/src/catalog/snapshot-writer.ts
@@ -16,6 +16,7 @@
 const MIN_LIST_BYTES = 32_768;
 /** Limits the snapshot's size, since the store limits its values. */
 const MAX_SNAPSHOT_BYTES = 512 * 1_024;
+/** A daemon that starts from a snapshot lacks later changes until it reads on. */
 const MIN_WRITE_INTERVAL_MS = 2_000;
 const WRITE_TIMEOUT_MS = 500;
 
--- a/src/entry/flow-terminator.ts
+++ b/src/entry/flow-terminator.ts
@@ -22,7 +22,8 @@
 
 /**
  * Delays from a detected restart to each resend, in milliseconds. A resend fails if the
- * packet is lost, the server does not listen yet or the network is partitioned.
+ * packet is lost, the server does not listen yet or the network is partitioned. Callers
+ * wait for 2 s to 13 s.
  */
 const RESEND_DELAYS_MS: readonly number[] = [0, 1_000, 4_000, 9_000];
 /** Bytes of a reset on the link, headers included. */
--- a/src/reachability/server-reachability.ts
+++ b/src/reachability/server-reachability.ts
@@ -19,7 +19,10 @@
 
 /** Peers asked to probe a server besides this daemon. */
 const HELPER_COUNT = 2;
-/** Time limit of one probe, in milliseconds. */
+/**
+ * Time limit of one probe, in milliseconds: a hundred usual round trips. A caller retransmits
+ * after 200 ms, so a failure is found some 0.6 s after it.
+ */
 const PROBE_TIMEOUT_MS = 300;
 /** Time limit for the votes of helpers: their probe and the network round trip. */
 const VOTE_TIMEOUT_MS = PROBE_TIMEOUT_MS + 100;
--- a/src/routing/cold-start-limiter.ts
+++ b/src/routing/cold-start-limiter.ts
@@ -7,9 +7,15 @@
  */
 import type {Random} from './random.js';
 
-/** Accepted probability, for any second, that a cold server gets more than its limit. */
+/**
+ * Accepted probability, for any second, that a cold server gets more than its limit: 5,600
+ * servers that are cold for 2 s each day exceed it once in 250 years.
+ */
 const OVERLOAD_PROBABILITY = 1e-9;
-/** Average requests of a new flow within its first second. */
+/**
+ * Average requests of a new flow within its first second: one, and a second one by half of
+ * the flows that go on.
+ */
 const REQUESTS_PER_FLOW = 1.5;
 /** How many times more daemons there may be than this one knows of. */
 const DAEMON_COUNT_FACTOR = 2;
--- a/src/routing/server-selector.ts
+++ b/src/routing/server-selector.ts
@@ -12,7 +12,10 @@
 import type {Random} from './random.js';
 import type {ServerLoadTracker} from './server-load-tracker.js';
 
-/** Servers compared for one new flow; bounds the cost for large services. */
+/**
+ * Servers compared for one new flow; bounds the cost for large services. Among 32 an idle
+ * one is nearly certain.
+ */
 const MAX_CANDIDATES = 32;
 
 /** Fraction of a cold server's slots that counts in its weight. */
