Reader election: expired records of unanswered pulls are removed; tests share their views

The record of readers that left pulls unanswered grew by an address for each such reader. Tests of the fleet share listReaders and listRouteVersions.

--- a/src/catalog/reader-election.ts
+++ b/src/catalog/reader-election.ts
@@ -165,6 +165,7 @@
   recordUnserved(peer: number, now: number): boolean {
     const wasReader = this.readers(now).some(({reader}) => reader === peer);
     if (wasReader) {
+      this.removeExpiredUnserved(now);
       this.unservedUntil.set(peer, now + UNSERVED_BACKOFF_MS);
       this.firstCeasedAt ??= now;
     }
@@ -283,6 +284,14 @@
     return (this.unservedUntil.get(reader) ?? -Infinity) > now;
   }
 
+  private removeExpiredUnserved(now: number): void {
+    this.unservedUntil.forEach((until, reader) => {
+      if (until <= now) {
+        this.unservedUntil.delete(reader);
+      }
+    });
+  }
+
   /** Returns this daemon's rank among the readers, or -1 if it is none. */
   private rankAt(now: number): number {
     const {reader} = this.options.self;
--- a/src/entry/large-fleet.spec.ts
+++ b/src/entry/large-fleet.spec.ts
@@ -4,6 +4,7 @@
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
 import {formatIpv4} from '../routing/ipv4.js';
 import {OutageKind} from '../../standins/catalog-store.js';
+import {listReaders, listRouteVersions} from '../../standins/fleet-views.js';
 import {SimulatedPlatform} from '../../standins/simulated-platform.js';
 import {createRoute} from '../../standins/catalog-records.js';
 
@@ -26,17 +27,6 @@
   );
 }
 
-/** Daemons that read the store, according to their last log line about it. */
-function readersOf(platform: SimulatedPlatform): string[] {
-  const waits = new Map<string, boolean>();
-  platform.logEntries
-    .filter(({event}) => event === 'reader-changed')
-    .forEach(({process, fields}) =>
-      waits.set(process, fields['waits'] === true),
-    );
-  return [...waits.keys()].filter(name => waits.get(name) === true);
-}
-
 [30, 88, 195, 300].forEach(daemons =>
   test(`none of ${daemons} running daemons is logged as lost, and two read the store`, async () => {
     const platform = await createFleet(daemons);
@@ -44,7 +34,7 @@
     await platform.clock.advance(CALM_MS);
     const lost = platform.logEntries.filter(({event}) => event === 'peer-lost');
     assert.equal(lost.length, 0);
-    assert.equal(readersOf(platform).length, 2);
+    assert.equal(listReaders(platform).length, 2);
     // Two readers call every 1.7 s, regardless of the fleet's size.
     assert.ok(
       platform.store.calls - callsBefore <= 26,
@@ -57,11 +47,11 @@
   test(`few of ${daemons} daemons take over when both readers end, within the bound`, async () => {
     const platform = await createFleet(daemons);
     await platform.clock.advance(1_000);
-    readersOf(platform).forEach(name => platform.killDaemon(name));
+    listReaders(platform).forEach(name => platform.killDaemon(name));
     platform.publishRoutes([ROUTE]);
     const callsBefore = platform.store.calls;
     await platform.clock.advance(BOUNDS.configurationMs);
-    assert.deepEqual([...versionsOf(platform)], [2]);
+    assert.deepEqual(listRouteVersions(platform), [2]);
     assert.ok(
       platform.store.calls - callsBefore <= 8,
       `${platform.store.calls - callsBefore} calls`,
@@ -80,14 +70,14 @@
     platform.store.outages.clear();
     platform.publishRoutes([ROUTE]);
     await platform.clock.advance(2_000);
-    assert.deepEqual([...versionsOf(platform)], [2]);
+    assert.deepEqual(listRouteVersions(platform), [2]);
   }),
 );
 
 test('others of 195 daemons read a store that does not respond to a third of them', async () => {
   const platform = await createFleet(195);
   const names = [...platform.daemons.keys()];
-  const readers = new Set(readersOf(platform));
+  const readers = new Set(listReaders(platform));
   names
     .filter((name, index) => index % 3 === 0 || readers.has(name))
     .forEach(name => platform.store.outages.set(name, OutageKind.SILENT));
@@ -95,7 +85,7 @@
   for (let round = 0; round < 4; round += 1) {
     platform.publishRoutes([ROUTE]);
     await platform.clock.advance(BOUNDS.configurationMs);
-    assert.deepEqual([...versionsOf(platform)], [2 + round]);
+    assert.deepEqual(listRouteVersions(platform), [2 + round]);
   }
   const calls = platform.store.calls - callsBefore;
   assert.ok(calls <= 60, `${calls} calls in 12 s`);
@@ -123,7 +113,7 @@
   const callsBefore = platform.store.calls;
   platform.publishRoutes([ROUTE]);
   await platform.clock.advance(BOUNDS.configurationMs);
-  assert.deepEqual([...versionsOf(platform)], [2]);
+  assert.deepEqual(listRouteVersions(platform), [2]);
   await platform.clock.advance(9_000 - BOUNDS.configurationMs);
   const calls = platform.store.calls - callsBefore;
   assert.ok(calls <= 10 * 5 + 12, `${calls} calls in 9 s`);
@@ -141,15 +131,6 @@
   return formatIpv4(platform.getDaemon(name).settings.address);
 }
 
-/** Route versions that the running daemons hold. */
-function versionsOf(platform: SimulatedPlatform): Set<number> {
-  return new Set(
-    [...platform.daemons.values()].flatMap(({running}) =>
-      running === undefined ? [] : [running.catalog.stamp.routeVersion],
-    ),
-  );
-}
-
 test('killed daemons are logged as lost within 6 s, at most once by each daemon', async () => {
   const platform = await createFleet(195);
   const ended = Array.from({length: 12}, (_daemon, index) => `d${index * 16}`);
@@ -172,7 +153,7 @@
   await platform.clock.advance(6_000);
   platform.publishRoutes([ROUTE]);
   await platform.clock.advance(BOUNDS.configurationMs);
-  assert.deepEqual([...versionsOf(platform)], [2]);
+  assert.deepEqual(listRouteVersions(platform), [2]);
 });
 
 test('a failure domain rejoins the gossip after a long partition', async () => {
@@ -196,5 +177,5 @@
   await platform.clock.advance(10_000);
   platform.publishRoutes([ROUTE]);
   await platform.clock.advance(BOUNDS.configurationMs);
-  assert.deepEqual([...versionsOf(platform)], [2]);
+  assert.deepEqual(listRouteVersions(platform), [2]);
 });
--- a/src/entry/paused-daemons.spec.ts
+++ b/src/entry/paused-daemons.spec.ts
@@ -4,6 +4,7 @@
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
 import {ServerState} from '../catalog/records.js';
 import {createRoute} from '../../standins/catalog-records.js';
+import {listReaders} from '../../standins/fleet-views.js';
 import {SimulatedPlatform} from '../../standins/simulated-platform.js';
 
 const FEED = createRoute('feed', {
@@ -36,14 +37,6 @@
   return platform;
 }
 
-/** Whether a daemon last logged that it is an elected reader. */
-function isReader(platform: SimulatedPlatform, name: string): boolean {
-  const changes = platform.logEntries.filter(
-    ({process, event}) => process === name && event === 'reader-changed',
-  );
-  return changes.at(-1)?.fields['waits'] === true;
-}
-
 function openFlows(platform: SimulatedPlatform): void {
   Array.from({length: 60}, () =>
     platform.startCaller(FEED, MANY_REQUESTS, LONG_CALL_MS, PAUSE_MS),
@@ -78,7 +71,7 @@
   test(`a resumed daemon does not extend the leases of lost readers, seed ${seed}`, async () => {
     const platform = await createPlatform(8, seed);
     const names = [...platform.daemons.keys()];
-    const readers = names.filter(name => isReader(platform, name));
+    const readers = listReaders(platform);
     const [first, second, ...rest] = names.filter(
       name => !readers.includes(name),
     );
--- a/src/entry/reader-takeover.spec.ts
+++ b/src/entry/reader-takeover.spec.ts
@@ -7,6 +7,7 @@
 import {XxhashHasher} from '../adapters/xxhash-hasher.js';
 import {OutageKind} from '../../standins/catalog-store.js';
 import {createRoute} from '../../standins/catalog-records.js';
+import {listReaders, listRouteVersions} from '../../standins/fleet-views.js';
 import {SimulatedPlatform} from '../../standins/simulated-platform.js';
 
 const ROUTE = createRoute('pay', {address: 0xc6120001, port: 443});
@@ -35,28 +36,6 @@
   );
 }
 
-/** Daemons that read the store, according to their last log line about it. */
-function readersOf(platform: SimulatedPlatform): string[] {
-  const waits = new Map(
-    platform.logEntries
-      .filter(({event}) => event === 'reader-changed')
-      .map(({process, fields}) => [process, fields['waits'] === true]),
-  );
-  return [...waits.keys()].filter(name => waits.get(name) === true);
-}
-
-/** Route versions that some daemons hold. */
-function versionsOf(
-  platform: SimulatedPlatform,
-  names: readonly string[],
-): Set<number | undefined> {
-  return new Set(
-    names.map(
-      name => platform.getDaemon(name).running?.catalog.stamp.routeVersion,
-    ),
-  );
-}
-
 // Guards against daemons that learn of a change too late since the daemons that the store
 // turns away try one after the other to take over the reading.
 [8, 30].forEach(daemons =>
@@ -67,7 +46,7 @@
       for (let round = 0; round < 6; round += 1) {
         // The outages begin at different phases of the readers' waits.
         await platform.clock.advance(CALM_MS + round * 270);
-        const readers = readersOf(platform);
+        const readers = listReaders(platform);
         const others = names.filter(name => !readers.includes(name));
         const served = others.slice(0, daemons / 4);
         names
@@ -75,7 +54,7 @@
           .forEach(name => platform.store.outages.set(name, OutageKind.SILENT));
         platform.publishRoutes([ROUTE]);
         await platform.clock.advance(LIMIT_MS);
-        assert.deepEqual([...versionsOf(platform, served)], [2 + round]);
+        assert.deepEqual(listRouteVersions(platform, served), [2 + round]);
         platform.store.outages.clear();
       }
     }),
@@ -90,15 +69,14 @@
       const platform = await createFleet(daemons, seed);
       for (let round = 0; round < 4; round += 1) {
         await platform.clock.advance(CALM_MS + round * 270);
-        const readers = readersOf(platform);
+        const readers = listReaders(platform);
         readers
           .map(name => platform.getDaemon(name).settings.address)
           .forEach(address => platform.network.unansweringDaemons.add(address));
         const callsBefore = platform.store.calls;
         platform.publishRoutes([ROUTE]);
         await platform.clock.advance(LIMIT_MS);
-        const names = [...platform.daemons.keys()];
-        assert.deepEqual([...versionsOf(platform, names)], [2 + round]);
+        assert.deepEqual(listRouteVersions(platform), [2 + round]);
         const calls = platform.store.calls - callsBefore;
         assert.ok(calls <= 20, `${calls} calls in 3 s`);
         platform.network.unansweringDaemons.clear();
@@ -131,8 +109,7 @@
       platform.store.outages.clear();
       platform.publishRoutes([ROUTE]);
       await platform.clock.advance(LIMIT_MS);
-      const names = [...platform.daemons.keys()];
-      assert.deepEqual([...versionsOf(platform, names)], [2 + round]);
+      assert.deepEqual(listRouteVersions(platform), [2 + round]);
     }
   }),
 );
