--- a/review/standins-2/leave-case.mjs
+++ b/review/standins-2/leave-case.mjs
@@ -19,7 +19,7 @@
 const EXTRA_MS = 6_000;
 const DEADLINE_MS = 1_500;
 
-const ROUTE = {name: 'r-feed', host: '198.18.0.1', port: 8443, type: 'safe', service: 'meterpay', method: 'GET'};
+const ROUTE = {name: 'r-feed', host: '127.0.50.1', port: 8443, type: 'safe', service: 'meterpay', method: 'GET'};
 
 function describeServer(number) {
   return {id: `i-9046ff5${number.toString(16).padStart(3, '0')}`, service: 'meterpay', zone: number % 2 === 0 ? 'hall-a' : 'hall-b'};
